Serve one request end to end with every part a process of its own

Change: model, pure decision, platform interfaces with a client of the etcd v3 JSON gateway, peer protocol over gRPC, entry, steward, operator command line, stand-ins, and a quickstart that starts them all on loopback. Before: nothing ran.

--- /dev/null
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CheapestSufficientRouteChooser.kt
@@ -0,0 +1,76 @@
+package io.quetzalfield.decision
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.quetzalfield.model.ListsSnapshot
+import io.quetzalfield.model.ModelVersion
+import io.quetzalfield.model.ModelVersionReference
+import io.quetzalfield.model.NotRun
+import io.quetzalfield.model.RefusalReason
+import io.quetzalfield.model.VersionState
+
+/** Pass rate estimates of versions, by kind of request. */
+public fun interface QualityEstimates {
+    /** The estimated pass rate from 0 to 1; [prior] where nothing was learnt. */
+    public fun estimate(version: ModelVersionReference, kind: String, prior: Double): Double
+
+    public companion object {
+        /** Trusts the priors of the operators' lists. */
+        public val PriorsOnly: QualityEstimates = QualityEstimates { _, _, prior -> prior }
+    }
+}
+
+/**
+ * Takes the single cheapest version whose estimated quality meets the plan's target, or the best one when none does.
+ */
+public class CheapestSufficientRouteChooser(private val estimates: QualityEstimates = QualityEstimates.PriorsOnly) :
+    RouteChooser {
+    private class Candidate(val reference: ModelVersionReference, val version: ModelVersion, val quality: Double)
+
+    override fun choose(
+        request: RouteRequest,
+        snapshot: ListsSnapshot,
+        excluded: Set<ModelVersionReference>,
+    ): Either<NotRun, Route> {
+        val allowed = snapshot.allowedVersions(request.plan.id).filter { matches(it, request.requested) }
+        val candidates = allowed
+            .filterNot(excluded::contains)
+            .mapNotNull { reference -> candidate(reference, request, snapshot) }
+        if (candidates.isEmpty()) return noCandidate(request).left()
+        val sufficient = candidates.filter { it.quality >= request.plan.qualityTarget }
+        val chosen = sufficient.minByOrNull { it.version.costPerThousandTokens } ?: candidates.maxBy { it.quality }
+        val considered = candidates.map { it.considered(chosen, request.plan.qualityTarget) }
+        return Route(listOf(chosen.reference), considered).right()
+    }
+
+    private fun matches(reference: ModelVersionReference, requested: RequestedModel): Boolean = when (requested) {
+        RequestedModel.Automatic -> true
+        is RequestedModel.AnyVersion -> reference.model == requested.model
+        is RequestedModel.Exactly -> reference == requested.version
+    }
+
+    private fun candidate(
+        reference: ModelVersionReference,
+        request: RouteRequest,
+        snapshot: ListsSnapshot,
+    ): Candidate? {
+        val version = snapshot.version(reference) ?: return null
+        if (version.state != VersionState.SERVING) return null
+        return Candidate(reference, version, estimates.estimate(reference, request.kind, version.priorQuality))
+    }
+
+    private fun Candidate.considered(chosen: Candidate, target: Double): ConsideredVersion {
+        val reason = when {
+            this === chosen -> null
+            quality < target -> "estimated quality is below the target of $target"
+            else -> "costs more than ${chosen.reference}"
+        }
+        return ConsideredVersion(reference, quality, version.costPerThousandTokens, reason)
+    }
+
+    private fun noCandidate(request: RouteRequest): NotRun = NotRun(
+        refusal = RefusalReason.NOT_ALLOWED_BY_PLAN,
+        message = "plan ${request.plan.id} allows no serving version that matches the request",
+    )
+}
--- /dev/null
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/SmallFleet.kt
@@ -0,0 +1,103 @@
+package io.quetzalfield.distribution
+
+import io.quetzalfield.platform.EtcdGatewayKeyValueStore
+import io.quetzalfield.platform.HttpInstanceDirectory
+import io.quetzalfield.standins.CallerClient
+import java.nio.file.Files
+import java.nio.file.Path
+
+private const val STAND_INS = "io.quetzalfield.standins.MainKt"
+private const val ENTRY = "io.quetzalfield.entry.MainKt"
+private const val STEWARD = "io.quetzalfield.steward.MainKt"
+private const val OPERATOR = "io.quetzalfield.operator.MainKt"
+
+/** A platform stand-in, two entries, a steward, three runners and a service, each a process of its own. */
+internal class SmallFleet : AutoCloseable {
+    val processes = Processes()
+    val platform: String
+    val store: EtcdGatewayKeyValueStore
+
+    init {
+        val addressFile = processes.directory.resolve("platform")
+        processes.start("platform", STAND_INS, "platform", "--address-file", "$addressFile")
+        await("the platform's address") { Files.exists(addressFile) }
+        platform = Files.readString(addressFile)
+        store = EtcdGatewayKeyValueStore(platform)
+        applyLists()
+        startRunner("runner-1", "domain-1", "advisor-small@1", "advisor-small@2")
+        startRunner("runner-2", "domain-2", "advisor-small@2", "advisor-large@1")
+        startRunner("runner-3", "domain-3", "advisor-large@1", "advisor-large@2")
+        val service = arrayOf("service", "--platform", platform, "--instance", "service-1", "--service", "bookings")
+        processes.start("service-1", STAND_INS, *service)
+        startEntry("entry-1", "domain-1")
+        startEntry("entry-2", "domain-2")
+        startSteward("steward-1")
+        await("a complete fleet") { addressOf("entry-1") != null && addressOf("entry-2") != null && isComplete() }
+    }
+
+    private fun isComplete(): Boolean = INSTANCES.all { addressOf(it) != null } &&
+        listOf("entry-1", "entry-2").all { CallerClient(checkNotNull(addressOf(it))).isReady() }
+
+    /** A caller of the entry [instance]. */
+    fun caller(instance: String): CallerClient = CallerClient(checkNotNull(addressOf(instance)))
+
+    /** The address that the platform's list has for [instance]. */
+    fun addressOf(instance: String): String? = HttpInstanceDirectory(platform).instances().getOrNull().orEmpty()
+        .firstOrNull { it.id.value == instance }?.address
+
+    fun applyLists() {
+        val arguments =
+            arrayOf("--plans", "${EXAMPLES.resolve("plans.yaml")}", "--models", "${EXAMPLES.resolve("models.yaml")}")
+        val apply = processes.start("operator", OPERATOR, "apply", "--platform", platform, *arguments)
+        check(apply.waitFor() == 0) { processes.log("operator") }
+    }
+
+    fun startRunner(instance: String, failureDomain: String, vararg versions: String) {
+        val options = versions.flatMap { listOf("--version", it) }.toTypedArray()
+        processes.start(
+            instance, STAND_INS, "runner", "--platform", platform, "--instance", instance,
+            "--failure-domain", failureDomain, "--token-delay", "5", *options,
+        )
+    }
+
+    fun startEntry(instance: String, failureDomain: String) {
+        val settings = writeSettings(
+            instance,
+            """
+            instance: $instance
+            failureDomain: $failureDomain
+            callerAddress: 127.0.0.1:0
+            peerAddress: 127.0.0.1:0
+            platformAddress: $platform
+            addressValidity: 1s
+            """,
+        )
+        processes.start(instance, ENTRY, "--settings", "$settings")
+    }
+
+    fun startSteward(instance: String) {
+        val settings = writeSettings(
+            instance,
+            """
+            instance: $instance
+            failureDomain: domain-1
+            peerAddress: 127.0.0.1:0
+            operatorAddress: 127.0.0.1:0
+            platformAddress: $platform
+            """,
+        )
+        processes.start(instance, STEWARD, "--settings", "$settings")
+    }
+
+    private fun writeSettings(instance: String, text: String): Path =
+        Files.writeString(processes.directory.resolve("$instance.yaml"), text.trimIndent())
+
+    override fun close() {
+        processes.close()
+    }
+
+    private companion object {
+        val EXAMPLES: Path = Path.of("..", "examples", "lists").toAbsolutePath().normalize()
+        val INSTANCES = listOf("runner-1", "runner-2", "runner-3", "service-1", "entry-1", "entry-2", "steward-1")
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/AnswerAssembler.kt
@@ -0,0 +1,84 @@
+package io.quetzalfield.entry
+
+import io.quetzalfield.model.AttemptId
+import io.quetzalfield.model.InterruptionReason
+import io.quetzalfield.model.MayHaveRun
+import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.platform.engine.COMPLETION_ID_PREFIX
+import io.quetzalfield.platform.engine.ChatCompletionChunk
+import io.quetzalfield.platform.engine.STREAM_END
+import io.quetzalfield.platform.engine.TokenUsage
+import kotlinx.serialization.SerializationException
+import okhttp3.Response
+import okhttp3.sse.EventSource
+import okhttp3.sse.EventSourceListener
+
+/** Ends the reading of a stream that is at fault. */
+private class BrokenStreamException(message: String) : RuntimeException(message)
+
+/**
+ * Accepts the events of one attempt's stream: only under the attempt's id, only in order, and whole only with finish
+ * reason, matching length and end marker.
+ */
+internal class AnswerAssembler(attempt: AttemptId, firstOffset: Int, private val onToken: (String) -> Unit) :
+    EventSourceListener() {
+    private val expectedId = COMPLETION_ID_PREFIX + attempt.value
+    private var nextOffset = firstOffset
+    private var finishReason: String? = null
+    private var usage: TokenUsage? = null
+    private var hasEnded = false
+    private var fault: String? = null
+    private var callerGone: CallerGoneException? = null
+
+    override fun onEvent(eventSource: EventSource, id: String?, type: String?, data: String) {
+        if (fault != null) return
+        if (data == STREAM_END) {
+            hasEnded = true
+            return
+        }
+        val chunk = try {
+            PlatformJson.decodeFromString(ChatCompletionChunk.serializer(), data)
+        } catch (error: SerializationException) {
+            fault = "unreadable chunk: ${error.message}"
+            return
+        }
+        accept(chunk)
+        fault?.let { throw BrokenStreamException(it) }
+    }
+
+    override fun onFailure(eventSource: EventSource, t: Throwable?, response: Response?) {
+        if (t is CallerGoneException) callerGone = t
+        if (fault == null) fault = "the stream broke: ${t?.message}"
+    }
+
+    /** How the attempt ended, once the stream is over. */
+    fun result(): AttemptResult {
+        callerGone?.let { throw it }
+        val total = usage
+        val reason = finishReason
+        val problem = when {
+            fault != null -> fault
+            !hasEnded || total == null || reason == null -> "the stream ended early, after $nextOffset tokens"
+            total.completionTokens != nextOffset -> "$nextOffset tokens of ${total.completionTokens} arrived"
+            else -> return AttemptResult.Complete(total, reason)
+        }
+        return AttemptResult.Failed(MayHaveRun(InterruptionReason.ANSWER_INCOMPLETE, problem.orEmpty()))
+    }
+
+    private fun accept(chunk: ChatCompletionChunk) {
+        if (chunk.id != expectedId) {
+            fault = "a chunk belongs to ${chunk.id}, not to $expectedId"
+            return
+        }
+        chunk.usage?.let { usage = it }
+        val choice = chunk.choices.firstOrNull() ?: return
+        choice.finishReason?.let { finishReason = it }
+        val content = choice.delta.content ?: return
+        if (chunk.tokenOffset != null && chunk.tokenOffset != nextOffset) {
+            fault = "token ${chunk.tokenOffset} arrived where $nextOffset was due"
+            return
+        }
+        nextOffset++
+        onToken(content)
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
@@ -0,0 +1,57 @@
+package io.quetzalfield.entry
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.quetzalfield.model.RequestFailure
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** Why an attempt was followed by another. */
+public enum class RetryReason(public val label: String) {
+    RUNNER_REFUSED("runner_refused"),
+    RUNNER_UNREACHABLE("runner_unreachable"),
+    ANSWER_INCOMPLETE("answer_incomplete"),
+    CONNECTION_LOST("connection_lost"),
+}
+
+/** The counters and histograms of an entry. */
+public class EntryMetrics(public val registry: PrometheusRegistry = PrometheusRegistry()) {
+    private val failures = Counter.builder()
+        .name("quetzalfield_requests_failed_total")
+        .help("Requests without a whole answer, by reason")
+        .labelNames("reason")
+        .register(registry)
+    private val retries = Counter.builder()
+        .name("quetzalfield_retries_total")
+        .help("Attempts that followed another, by reason")
+        .labelNames("reason")
+        .register(registry)
+    private val answers = Counter.builder()
+        .name("quetzalfield_answers_total")
+        .help("Whole answers, by model version")
+        .labelNames("version")
+        .register(registry)
+    private val firstToken = Histogram.builder()
+        .name("quetzalfield_first_token_seconds")
+        .help("Time from the request to the first token")
+        .register(registry)
+    private val total = Histogram.builder()
+        .name("quetzalfield_answer_seconds")
+        .help("Time from the request to the end of the answer")
+        .register(registry)
+
+    public fun countFailure(failure: RequestFailure) {
+        failures.labelValues(failure.reason).inc()
+    }
+
+    public fun countRetry(reason: RetryReason) {
+        retries.labelValues(reason.label).inc()
+    }
+
+    public fun countAnswer(version: String, untilFirstToken: Duration, untilEnd: Duration) {
+        answers.labelValues(version).inc()
+        firstToken.observe(untilFirstToken.toDouble(DurationUnit.SECONDS))
+        total.observe(untilEnd.toDouble(DurationUnit.SECONDS))
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -0,0 +1,153 @@
+package io.quetzalfield.entry
+
+import io.javalin.Javalin
+import io.quetzalfield.decision.CheapestSufficientRouteChooser
+import io.quetzalfield.decision.LeastLoadedRunnerChooser
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceKind
+import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.peer.PeerClients
+import io.quetzalfield.peer.PeerServer
+import io.quetzalfield.platform.EtcdGatewayKeyValueStore
+import io.quetzalfield.platform.HttpInstanceDirectory
+import io.quetzalfield.platform.InstanceDirectory
+import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.support.HostPort
+import io.quetzalfield.support.every
+import io.quetzalfield.support.newScheduler
+import io.quetzalfield.support.startHttpServer
+import io.quetzalfield.support.writeMetrics
+import okhttp3.ConnectionPool
+import okhttp3.Dispatcher
+import okhttp3.OkHttpClient
+import org.apache.logging.log4j.LogManager
+import java.util.UUID
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** An entry that runs: it answers callers and peers until it is closed. */
+public class EntryProgram(
+    private val settings: EntrySettings,
+    store: KeyValueStore = EtcdGatewayKeyValueStore(settings.platformAddress),
+    private val directory: InstanceDirectory = HttpInstanceDirectory(settings.platformAddress),
+) : AutoCloseable {
+    private val incarnation = Incarnation(settings.instance, UUID.randomUUID().toString())
+    private val client = newClient()
+    private val metrics = EntryMetrics()
+    private val lists = ListsHolder()
+    private val fleet = FleetView(directory)
+    private val loads = RunnerLoadTracker(fleet, client)
+    private val ledger = BillLedger(incarnation, store)
+    private val gate = ShutdownGate()
+    private val peers = PeerClients()
+    private val peerServer = startPeerServer()
+    private val distribution = ListsDistribution(incarnation, lists, fleet, peers, store)
+    private val completions = CompletionService(
+        ownFailureDomain = settings.failureDomain,
+        routeChooser = CheapestSufficientRouteChooser(),
+        runnerChooser = LeastLoadedRunnerChooser,
+        loads = loads,
+        fleet = fleet,
+        runners = RunnerClient(client),
+        ledger = ledger,
+        metrics = metrics,
+    )
+    private val callerApi = CallerApi(
+        lists = lists,
+        fleet = fleet,
+        completions = completions,
+        services = ServiceCallService(incarnation, fleet, client),
+        addressValidity = settings.addressValidity,
+        metrics = metrics,
+        gate = gate,
+    )
+    private val server: Javalin = startCallerServer()
+    private val scheduler = newScheduler("entry")
+
+    init {
+        fleet.refresh()
+        announce(isLeaving = false)
+        distribution.start()
+        scheduler.every(settings.listRefresh) {
+            fleet.refresh()
+            announce(isLeaving = gate.isClosed)
+        }
+        scheduler.every(settings.listRefresh, distribution::exchangeWithPeers)
+        scheduler.every(settings.loadRefresh, loads::refresh)
+        scheduler.every(settings.billFlush, ledger::flush)
+        logger.info("entry {} serves callers at {} and peers at {}", incarnation, callerAddress, peerAddress)
+    }
+
+    /** The address at which callers are answered. */
+    public val callerAddress: String
+        get() = "http://${HostPort.parse(settings.callerAddress)?.host}:${server.port()}"
+
+    private val peerAddress: String
+        get() = "${HostPort.parse(settings.peerAddress)?.host}:${peerServer.port}"
+
+    private fun startCallerServer(): Javalin {
+        val address = requireNotNull(HostPort.parse(settings.callerAddress)) { "checked with the settings" }
+        return startHttpServer(address.host, address.port, settings.largestBodyBytes) {
+            callerApi.addRoutes(this)
+            get("/metrics") { writeMetrics(it, metrics.registry) }
+        }
+    }
+
+    private fun startPeerServer(): PeerServer {
+        val address = requireNotNull(HostPort.parse(settings.peerAddress)) { "checked with the settings" }
+        return PeerServer(address.host, address.port, EntryPeerService(lists))
+    }
+
+    private fun announce(isLeaving: Boolean) {
+        directory.announce(
+            ListedInstance(
+                id = settings.instance,
+                kind = InstanceKind.ENTRY,
+                address = callerAddress,
+                failureDomain = settings.failureDomain,
+                peerAddress = peerAddress,
+                isLeaving = isLeaving,
+                start = incarnation.start,
+            ),
+        )
+    }
+
+    /**
+     * Shuts down gracefully: callers are no longer sent here, the address answers given out run out, new requests are
+     * refused, running ones finish, and the bills are stored.
+     */
+    override fun close() {
+        logger.info("entry {} shuts down", incarnation)
+        announce(isLeaving = true)
+        gate.pause(settings.addressValidity)
+        gate.close()
+        val isDrained = gate.awaitDrained(settings.shutdownGrace)
+        ledger.flush()
+        scheduler.shutdownNow()
+        distribution.close()
+        directory.remove(settings.instance)
+        server.stop()
+        peerServer.close()
+        peers.close()
+        logger.info("entry {} has stopped, {}", incarnation, if (isDrained) "drained" else "with requests running")
+    }
+
+    private companion object {
+        const val LARGEST_CONCURRENCY = 4_096
+        const val IDLE_CONNECTIONS = 256
+        const val KEEP_ALIVE_MINUTES = 5L
+        val logger = LogManager.getLogger(EntryProgram::class.java)
+
+        fun newClient(): OkHttpClient {
+            val dispatcher = Dispatcher().apply {
+                maxRequests = LARGEST_CONCURRENCY
+                maxRequestsPerHost = LARGEST_CONCURRENCY
+            }
+            return OkHttpClient.Builder()
+                .dispatcher(dispatcher)
+                .connectionPool(ConnectionPool(IDLE_CONNECTIONS, KEEP_ALIVE_MINUTES, TimeUnit.MINUTES))
+                .readTimeout(Duration.ZERO.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+                .build()
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RunnerClient.kt
@@ -0,0 +1,110 @@
+package io.quetzalfield.entry
+
+import io.quetzalfield.decision.RunnerView
+import io.quetzalfield.model.AttemptId
+import io.quetzalfield.model.InterruptionReason
+import io.quetzalfield.model.MayHaveRun
+import io.quetzalfield.model.NotRun
+import io.quetzalfield.model.RefusalReason
+import io.quetzalfield.model.RequestFailure
+import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.platform.engine.ChatCompletionRequest
+import io.quetzalfield.platform.engine.EngineRefusal
+import io.quetzalfield.platform.engine.EngineRefusalCode
+import io.quetzalfield.platform.engine.REQUEST_ID_HEADER
+import io.quetzalfield.platform.engine.TokenUsage
+import kotlinx.serialization.SerializationException
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import okhttp3.sse.EventSources
+import java.io.IOException
+import java.net.ConnectException
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** How an attempt at a runner ended. */
+public sealed interface AttemptResult {
+    /** The whole answer arrived. */
+    public data class Complete(val usage: TokenUsage, val finishReason: String) : AttemptResult
+
+    /**
+     * The answer is not whole.
+     *
+     * @property isLeaving whether the runner said that it is leaving.
+     */
+    public data class Failed(val failure: RequestFailure, val isLeaving: Boolean = false) : AttemptResult
+}
+
+/** Sends attempts to runners and checks that the answer is whole and the attempt's own. */
+public class RunnerClient(client: OkHttpClient) {
+    private val client = client.newBuilder().retryOnConnectionFailure(false).build()
+
+    /**
+     * Sends [request] to [runner] and reports each token of the answer, in order, to [onToken].
+     *
+     * @param timeout time for the whole answer.
+     * @throws CallerGoneException from [onToken]; the attempt is cancelled at the runner then.
+     */
+    public fun stream(
+        runner: RunnerView,
+        attempt: AttemptId,
+        request: ChatCompletionRequest,
+        timeout: Duration,
+        onToken: (String) -> Unit,
+    ): AttemptResult {
+        val body = PlatformJson.encodeToString(ChatCompletionRequest.serializer(), request)
+        val httpRequest = Request.Builder()
+            .url("${runner.address}/v1/chat/completions")
+            .header(REQUEST_ID_HEADER, attempt.value)
+            .post(body.toRequestBody(JSON_MEDIA_TYPE))
+            .build()
+        val call = client.newCall(httpRequest)
+        call.timeout().timeout(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        return try {
+            call.execute().use { response -> read(response, attempt, request, onToken) }
+        } catch (error: ConnectException) {
+            notRun(RefusalReason.NO_RUNNER, "runner ${runner.id} cannot be reached: ${error.message}")
+        } catch (error: IOException) {
+            mayHaveRun(InterruptionReason.CONNECTION_LOST, "runner ${runner.id}: ${error.message}")
+        }
+    }
+
+    private fun read(
+        response: Response,
+        attempt: AttemptId,
+        request: ChatCompletionRequest,
+        onToken: (String) -> Unit,
+    ): AttemptResult {
+        if (!response.isSuccessful) return refused(response)
+        val assembler = AnswerAssembler(attempt, request.resumeOffset ?: 0, onToken)
+        EventSources.processResponse(response, assembler)
+        return assembler.result()
+    }
+
+    private fun refused(response: Response): AttemptResult {
+        val text = response.body.string()
+        val refusal = try {
+            PlatformJson.decodeFromString(EngineRefusal.serializer(), text)
+        } catch (_: SerializationException) {
+            return mayHaveRun(InterruptionReason.CONNECTION_LOST, "the runner answered ${response.code}")
+        }
+        val failure = NotRun(RefusalReason.RUNNER_REFUSED, "${refusal.code.name.lowercase()}: ${refusal.message}")
+        return AttemptResult.Failed(failure, isLeaving = refusal.code == EngineRefusalCode.LEAVING)
+    }
+
+    private fun notRun(reason: RefusalReason, message: String): AttemptResult =
+        AttemptResult.Failed(NotRun(reason, message))
+
+    private fun mayHaveRun(reason: InterruptionReason, message: String): AttemptResult =
+        AttemptResult.Failed(MayHaveRun(reason, message))
+
+    private companion object {
+        val JSON_MEDIA_TYPE = "application/json".toMediaType()
+    }
+}
+
+/** The caller has closed its connection. */
+public class CallerGoneException(cause: IOException) : RuntimeException(cause)
--- /dev/null
+++ b/model/src/main/kotlin/io/quetzalfield/model/ModelVersionReference.kt
@@ -0,0 +1,44 @@
+package io.quetzalfield.model
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.descriptors.PrimitiveKind
+import kotlinx.serialization.descriptors.PrimitiveSerialDescriptor
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.encoding.Decoder
+import kotlinx.serialization.encoding.Encoder
+
+/** Names one version of one model; written as `model@version`. */
+@Serializable(with = ModelVersionReferenceSerializer::class)
+public data class ModelVersionReference(val model: ModelId, val version: VersionId) :
+    Comparable<ModelVersionReference> {
+    override fun toString(): String = "${model.value}@${version.value}"
+
+    override fun compareTo(other: ModelVersionReference): Int = toString().compareTo(other.toString())
+
+    public companion object {
+        /** Reads `model@version`; `null` when [text] is of another form. */
+        public fun parse(text: String): ModelVersionReference? {
+            val parts = text.split('@')
+            if (parts.size != 2 || parts.any(String::isBlank)) return null
+            return ModelVersionReference(ModelId(parts[0]), VersionId(parts[1]))
+        }
+    }
+}
+
+/** Reads and writes a reference as the text `model@version`. */
+public object ModelVersionReferenceSerializer : KSerializer<ModelVersionReference> {
+    override val descriptor: SerialDescriptor =
+        PrimitiveSerialDescriptor("io.quetzalfield.model.ModelVersionReference", PrimitiveKind.STRING)
+
+    override fun serialize(encoder: Encoder, value: ModelVersionReference) {
+        encoder.encodeString(value.toString())
+    }
+
+    override fun deserialize(decoder: Decoder): ModelVersionReference {
+        val text = decoder.decodeString()
+        return ModelVersionReference.parse(text)
+            ?: throw SerializationException("'$text' names no version; allowed: model@version")
+    }
+}
--- /dev/null
+++ b/peer/src/main/kotlin/io/quetzalfield/peer/PeerClients.kt
@@ -0,0 +1,66 @@
+package io.quetzalfield.peer
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.grpc.ManagedChannel
+import io.grpc.Status
+import io.grpc.StatusRuntimeException
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder
+import io.quetzalfield.peer.wire.PeerGrpc
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** Why a call to a peer gave no answer. */
+public sealed interface PeerError {
+    public val message: String
+
+    /** The call did not reach the peer. */
+    public data class Unreachable(override val message: String) : PeerError
+
+    /** The call may have reached the peer; its answer is lost or late. */
+    public data class OutcomeUnknown(override val message: String) : PeerError
+
+    /** The peer answered with an error. */
+    public data class Rejected(override val message: String) : PeerError
+}
+
+/** Channels to peers by their address, opened when first used and kept. */
+public class PeerClients : AutoCloseable {
+    private val channels = ConcurrentHashMap<String, ManagedChannel>()
+
+    /** Calls the peer at [address] (`host:port`) with a deadline [timeout] from now. */
+    public fun <T> call(
+        address: String,
+        timeout: Duration,
+        action: (PeerGrpc.PeerBlockingStub) -> T,
+    ): Either<PeerError, T> = try {
+        action(stub(address, timeout)).right()
+    } catch (error: StatusRuntimeException) {
+        error.toPeerError().left()
+    }
+
+    private fun stub(address: String, timeout: Duration): PeerGrpc.PeerBlockingStub =
+        PeerGrpc.newBlockingStub(channels.computeIfAbsent(address, ::openChannel))
+            .withDeadlineAfter(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+
+    private fun openChannel(address: String): ManagedChannel =
+        NettyChannelBuilder.forTarget("dns:///$address").usePlaintext().disableRetry().build()
+
+    /** Closes channels to addresses that are not in [addresses]. */
+    public fun retain(addresses: Set<String>) {
+        channels.keys.filterNot(addresses::contains).forEach { channels.remove(it)?.shutdown() }
+    }
+
+    override fun close() {
+        channels.values.forEach(ManagedChannel::shutdownNow)
+        channels.clear()
+    }
+}
+
+private fun StatusRuntimeException.toPeerError(): PeerError = when (status.code) {
+    Status.Code.UNAVAILABLE -> PeerError.Unreachable("$status")
+    Status.Code.DEADLINE_EXCEEDED, Status.Code.CANCELLED -> PeerError.OutcomeUnknown("$status")
+    else -> PeerError.Rejected("$status")
+}
--- /dev/null
+++ b/platform-fakes/src/main/kotlin/io/quetzalfield/platform/fakes/InMemoryKeyValueStore.kt
@@ -0,0 +1,151 @@
+package io.quetzalfield.platform.fakes
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.quetzalfield.platform.KeyValueError
+import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.platform.LeaseId
+import io.quetzalfield.platform.StoreChange
+import io.quetzalfield.platform.StoreRevision
+import io.quetzalfield.platform.StoreWatch
+import io.quetzalfield.platform.StoredValue
+import io.quetzalfield.platform.SwapResult
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+
+/**
+ * A key-value store in memory, with the faults of the real one. Leases follow [timeSource], so that tests pause and
+ * advance them. Watches report on the thread that writes.
+ */
+public class InMemoryKeyValueStore(private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic) :
+    KeyValueStore {
+    private class Lease(val timeToLive: Duration, var lapses: ComparableTimeMark)
+
+    private class Entry(val value: StoredValue, val lease: LeaseId?)
+
+    private class Watch(val prefix: String, val onChange: (StoreChange) -> Unit)
+
+    private val lock = Any()
+    private val entries = sortedMapOf<String, Entry>()
+    private val leases = mutableMapOf<LeaseId, Lease>()
+    private val watches = mutableListOf<Watch>()
+    private var revision = 0L
+    private var nextLease = 1L
+    private var answersToLose = 0
+
+    /** How many calls were made, refused ones too. */
+    public var callCount: Long = 0
+        private set
+
+    /** While `true`, every call fails without effect. */
+    @Volatile
+    public var isDown: Boolean = false
+
+    /** Lets the next [count] writes take effect but loses their answers. */
+    public fun loseAnswers(count: Int): Unit = synchronized(lock) { answersToLose = count }
+
+    override fun read(key: String): Either<KeyValueError, StoredValue?> = query { entries[key]?.value }
+
+    override fun list(prefix: String): Either<KeyValueError, List<StoredValue>> =
+        query { entries.filterKeys { it.startsWith(prefix) }.values.map(Entry::value) }
+
+    override fun compareAndSwap(
+        key: String,
+        expected: StoreRevision,
+        value: String,
+        lease: LeaseId?,
+    ): Either<KeyValueError, SwapResult> = command {
+        val current = entries[key]?.value
+        when {
+            (current?.modified ?: StoreRevision.Absent) != expected -> SwapResult.Conflict(current).right()
+
+            lease != null && lease !in leases -> KeyValueError.Rejected("lease ${lease.value} is unknown").left()
+
+            else -> {
+                revision++
+                val created = current?.created ?: StoreRevision(revision)
+                val stored = StoredValue(key, value, StoreRevision(revision), created)
+                entries[key] = Entry(stored, lease)
+                report(StoreChange(key, stored))
+                SwapResult.Swapped(stored.modified).right()
+            }
+        }
+    }
+
+    override fun compareAndDelete(key: String, expected: StoreRevision): Either<KeyValueError, SwapResult> = command {
+        val current = entries[key]?.value
+        if ((current?.modified ?: StoreRevision.Absent) != expected) {
+            SwapResult.Conflict(current).right()
+        } else {
+            delete(key)
+            SwapResult.Swapped(StoreRevision(revision)).right()
+        }
+    }
+
+    override fun grantLease(timeToLive: Duration): Either<KeyValueError, LeaseId> = command {
+        val id = LeaseId(nextLease++)
+        leases[id] = Lease(timeToLive, timeSource.markNow() + timeToLive)
+        id.right()
+    }
+
+    override fun keepAlive(lease: LeaseId): Either<KeyValueError, Boolean> = command {
+        val held = leases[lease]
+        held?.lapses = timeSource.markNow() + (held?.timeToLive ?: Duration.ZERO)
+        (held != null).right()
+    }
+
+    override fun revokeLease(lease: LeaseId): Either<KeyValueError, Unit> = command {
+        endLease(lease)
+        Unit.right()
+    }
+
+    override fun watch(prefix: String, onChange: (StoreChange) -> Unit): StoreWatch {
+        val watch = Watch(prefix, onChange)
+        synchronized(lock) {
+            callCount++
+            watches += watch
+            entries.filterKeys {
+                it.startsWith(prefix)
+            }.values.forEach { onChange(StoreChange(it.value.key, it.value)) }
+        }
+        return StoreWatch { synchronized(lock) { watches -= watch } }
+    }
+
+    /** Ends the leases that have lapsed by now. Every call does so too. */
+    public fun expireLeases(): Unit = synchronized(lock) {
+        leases.filterValues { it.lapses.hasPassedNow() }.keys.toList().forEach(::endLease)
+    }
+
+    private fun <T> query(read: () -> T): Either<KeyValueError, T> = synchronized(lock) {
+        callCount++
+        expireLeases()
+        if (isDown) KeyValueError.Unavailable("the store is down").left() else read().right()
+    }
+
+    private fun <T> command(write: () -> Either<KeyValueError, T>): Either<KeyValueError, T> = synchronized(lock) {
+        callCount++
+        expireLeases()
+        if (isDown) return@synchronized KeyValueError.Unavailable("the store is down").left()
+        val result = write()
+        if (answersToLose == 0) return@synchronized result
+        answersToLose--
+        KeyValueError.OutcomeUnknown("the answer is lost").left()
+    }
+
+    private fun endLease(lease: LeaseId) {
+        leases.remove(lease)
+        entries.filterValues { it.lease == lease }.keys.toList().forEach(::delete)
+    }
+
+    private fun delete(key: String) {
+        if (entries.remove(key) == null) return
+        revision++
+        report(StoreChange(key, null))
+    }
+
+    private fun report(change: StoreChange) {
+        watches.filter { change.key.startsWith(it.prefix) }.forEach { it.onChange(change) }
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/PlatformStandIn.kt
@@ -0,0 +1,96 @@
+package io.quetzalfield.standins
+
+import arrow.core.Either
+import io.javalin.Javalin
+import io.javalin.config.RoutesConfig
+import io.javalin.http.Context
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.platform.AnswerToRate
+import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.platform.Rating
+import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
+import io.quetzalfield.platform.fakes.InMemoryRatingService
+import io.quetzalfield.support.startHttpServer
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.ListSerializer
+
+/**
+ * Faults of the platform, set with `POST /faults`.
+ *
+ * @property isDown every key-value call fails without effect.
+ * @property loseAnswers how many of the next writes take effect without an answer.
+ * @property delayMilliseconds time by which each key-value answer is late.
+ * @property isListFrozen the list of instances stops following changes.
+ */
+@Serializable
+public data class PlatformFaults(
+    val isDown: Boolean = false,
+    val loseAnswers: Int = 0,
+    val delayMilliseconds: Long = 0,
+    val isListFrozen: Boolean = false,
+)
+
+/** What `GET /stats` answers. */
+@Serializable
+public data class PlatformStatistics(val keyValueCalls: Long)
+
+/** Stands in for the platform: key-value service, list of instances, rating service. */
+public class PlatformStandIn(host: String, port: Int, judge: (AnswerToRate) -> Boolean? = { true }) : AutoCloseable {
+    private val gateway = KeyValueGateway()
+    private val directory = InMemoryInstanceDirectory()
+    private val ratings = InMemoryRatingService(judge)
+    private val server: Javalin = startHttpServer(host, port) {
+        gateway.addRoutes(this)
+        addInstanceRoutes()
+        addRatingRoutes()
+        post("/faults") { it.applyFaults() }
+        get("/stats") { it.answer(PlatformStatistics.serializer(), PlatformStatistics(gateway.callCount)) }
+    }
+
+    /** The port that it listens at. */
+    public val port: Int get() = server.port()
+
+    private fun RoutesConfig.addInstanceRoutes() {
+        get("/v1/instances") { context ->
+            context.answerEither(directory.instances(), ListSerializer(ListedInstance.serializer()))
+        }
+        put("/v1/instances/{id}") { context ->
+            directory.announce(PlatformJson.decodeFromString(ListedInstance.serializer(), context.body()))
+        }
+        delete("/v1/instances/{id}") { context -> directory.remove(InstanceId(context.pathParam("id"))) }
+    }
+
+    private fun RoutesConfig.addRatingRoutes() {
+        post("/v1/ratings") { context ->
+            ratings.submit(PlatformJson.decodeFromString(AnswerToRate.serializer(), context.body()))
+        }
+        get("/v1/ratings") { context ->
+            val after = context.queryParam("after")?.toLongOrNull() ?: 0
+            context.answerEither(ratings.ratingsAfter(after), ListSerializer(Rating.serializer()))
+        }
+    }
+
+    private fun Context.applyFaults() {
+        val faults = PlatformJson.decodeFromString(PlatformFaults.serializer(), body())
+        gateway.applyFaults(faults)
+        directory.isFrozen = faults.isListFrozen
+    }
+
+    private fun <T> Context.answerEither(result: Either<*, T>, serializer: kotlinx.serialization.KSerializer<T>) {
+        when (result) {
+            is Either.Left -> status(SERVICE_UNAVAILABLE).result("${result.value}")
+            is Either.Right -> answer(serializer, result.value)
+        }
+    }
+
+    override fun close() {
+        server.stop()
+    }
+}
+
+internal const val SERVICE_UNAVAILABLE = 503
+
+internal fun <T> Context.answer(serializer: kotlinx.serialization.KSerializer<T>, value: T) {
+    contentType("application/json").result(PlatformJson.encodeToString(serializer, value))
+}
