--- a/entry/src/main/kotlin/io/quetzalfield/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CallerApi.kt
@@ -17,6 +17,7 @@
 import io.quetzalfield.model.Plan
 import io.quetzalfield.model.RefusalReason
 import io.quetzalfield.model.RequestFailure
+import io.quetzalfield.model.RequestId
 import io.quetzalfield.model.RequestKey
 import io.quetzalfield.model.ServiceId
 import io.quetzalfield.model.SessionId
@@ -70,8 +71,7 @@
 
     private fun complete(context: Context): Either<RequestFailure, Unit> =
         authenticate(context).flatMap { caller -> readCall(context, caller) }.flatMap { call ->
-            val requestId = UUID.randomUUID().toString()
-            val writer = CompletionWriter(context, call.body.stream, requestId)
+            val writer = CompletionWriter(context, call.body.stream, call.id.value)
             completions.complete(call, writer)
                 .map(writer::finish)
                 .fold({ failure -> writer.fail(failure).right() }, { it.right() })
@@ -91,6 +91,7 @@
         requested: RequestedModel,
         pin: SessionPin?,
     ): CompletionCall = CompletionCall(
+        id = RequestId(UUID.randomUUID().toString()),
         snapshot = caller.snapshot,
         account = caller.account,
         plan = caller.plan,
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
@@ -21,6 +21,7 @@
 import io.quetzalfield.model.Plan
 import io.quetzalfield.model.RefusalReason
 import io.quetzalfield.model.RequestFailure
+import io.quetzalfield.model.RequestId
 import io.quetzalfield.model.RequestKey
 import io.quetzalfield.model.RunnerId
 import io.quetzalfield.platform.engine.ChatCompletionRequest
@@ -38,6 +39,7 @@
  * @property pin the version that the request's session keeps.
  */
 public data class CompletionCall(
+    val id: RequestId,
     val snapshot: ListsSnapshot,
     val account: ClientAccount,
     val plan: Plan,
@@ -75,6 +77,7 @@
     private val runners: RunnerClient,
     private val ledger: BillLedger,
     private val metrics: EntryMetrics,
+    private val journal: RequestJournal = RequestJournal.None,
     private val timeSource: TimeSource = TimeSource.Monotonic,
 ) {
     /** One run of a completion: what was sent to the caller and which runners were tried. */
@@ -101,13 +104,40 @@
 
     /** Runs [call]; the answer goes to [sink] as it comes. */
     public fun complete(call: CompletionCall, sink: CompletionSink): Either<RequestFailure, CompletionReport> =
-        chooseVersion(call)
+        received(call)
+            .flatMap(::chooseVersion)
             .flatMap { version -> runAttempts(Run(call, version, sink)) }
-            .onLeft(metrics::countFailure)
+            .onLeft { failure -> noteFailure(call, failure) }
+
+    private fun received(call: CompletionCall): Either<RequestFailure, CompletionCall> {
+        val event = RequestEvent.Received(
+            account = call.account.id,
+            plan = call.plan.id,
+            key = call.key,
+            revision = call.snapshot.revision,
+            kind = call.route.kind,
+        )
+        journal.record(call.id, event)
+        return call.right()
+    }
+
+    private fun noteFailure(call: CompletionCall, failure: RequestFailure) {
+        metrics.countFailure(failure)
+        journal.record(call.id, RequestEvent.Failed(failure))
+    }
 
     private fun chooseVersion(call: CompletionCall): Either<RequestFailure, ModelVersionReference> {
-        val pin = call.pin ?: return chooseRoute(call.route, call.snapshot).map { it.stages.first() }
-        return pin.version.right()
+        val pin = call.pin
+        val route = if (pin ==
+            null
+        ) {
+            chooseRoute(call.route, call.snapshot)
+        } else {
+            Route(listOf(pin.version), emptyList()).right()
+        }
+        return route
+            .onRight { journal.record(call.id, RequestEvent.Decided(it.stages, it.considered, isPinned = pin != null)) }
+            .map { it.stages.first() }
     }
 
     private fun runAttempts(run: Run): Either<RequestFailure, CompletionReport> {
@@ -123,13 +153,18 @@
                     lastFailure = result.failure
                     if (result.isLeaving) fleet.markLeaving(InstanceId(runner.id.value))
                     if (run.tokensSent > 0) return lastFailure.left()
-                    metrics.countRetry(retryReason(result.failure))
+                    noteRetry(run, retryReason(result.failure))
                 }
             }
         }
         return lastFailure.left()
     }
 
+    private fun noteRetry(run: Run, reason: RetryReason) {
+        metrics.countRetry(reason)
+        journal.record(run.call.id, RequestEvent.Retried(reason))
+    }
+
     private fun chooseRunner(run: Run): RunnerView? =
         runnerChooser.choose(RunnerRequest(run.version, ownFailureDomain, excluded = run.tried), loads.views())
 
@@ -142,7 +177,12 @@
         )
         val attempt = AttemptId(UUID.randomUUID().toString())
         val timeLeft = run.deadline - run.started.elapsedNow()
-        return loads.track(runner.id) { runners.stream(runner, attempt, request, timeLeft, run::onToken) }
+        journal.record(run.call.id, RequestEvent.AttemptSent(attempt, runner.id, run.version))
+        val result = loads.track(runner.id) { runners.stream(runner, attempt, request, timeLeft, run::onToken) }
+        if (result is AttemptResult.Failed) {
+            journal.record(run.call.id, RequestEvent.AttemptFailed(attempt, result.failure))
+        }
+        return result
     }
 
     private fun bill(run: Run, result: AttemptResult.Complete): CompletionReport {
@@ -150,6 +190,8 @@
         val tokens = result.usage.completionTokens.toLong()
         val priceMicros = Math.round(tokens * costPerThousandTokens * MICROS_PER_UNIT / TOKENS_PER_PRICE)
         val isBilled = ledger.record(Bill(run.call.account.id, run.call.key, tokens, priceMicros))
+        journal.record(run.call.id, RequestEvent.Answered(run.version, result.usage.completionTokens))
+        journal.record(run.call.id, RequestEvent.Billed(priceMicros, isBilled))
         val elapsed = run.started.elapsedNow()
         metrics.countAnswer(run.version.toString(), run.untilFirstToken ?: elapsed, elapsed)
         return CompletionReport(run.version, result.usage, result.finishReason, priceMicros, isBilled)
--- a/model/src/main/kotlin/io/quetzalfield/model/Ids.kt
+++ b/model/src/main/kotlin/io/quetzalfield/model/Ids.kt
@@ -52,6 +52,13 @@
     override fun toString(): String = value
 }
 
+/** The system's own id of a request, by which it is explained. */
+@Serializable
+@JvmInline
+public value class RequestId(public val value: String) {
+    override fun toString(): String = value
+}
+
 /** One send of a request to one runner; unique for ever. */
 @Serializable
 @JvmInline
