Spread the lists by relays and peers, and refuse work where they cannot be known to be current

Cause: every entry watched the store (a waiting watch counts as a call, so calls grew with the fleet), peers were asked in a fixed ring, and an entry cut off from store and peers went on deciding by old lists for ever. Change: two relays a failure domain watch and read the store; entries exchange with random peers and push new lists on at once; an entry that has heard from neither for 5 s answers 'lists_not_current, not run'. A load tool compares routed with direct answers in one run.

--- a/entry/src/main/kotlin/io/quetzalfield/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CallerApi.kt
@@ -26,12 +26,15 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import java.security.MessageDigest
+import java.util.HexFormat
 import java.util.UUID
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 private const val OVERSIZED_STATUS = 413
 private const val BEARER_PREFIX = "Bearer "
+private val LISTS_RETRY_AFTER = 2.seconds
 private const val DEFAULT_KIND = "general"
 
 /** A caller whose API key was recognised, with the snapshot that its request is decided against. */
@@ -46,6 +49,7 @@
     private val addressValidity: Duration,
     private val metrics: EntryMetrics,
     private val gate: ShutdownGate,
+    private val areListsCurrent: () -> Boolean = { true },
     private val clock: Clock = Clock.System,
 ) {
     private val sessionTokens = SignedTokens("session", SessionPin.serializer())
@@ -200,12 +204,19 @@
         val header = context.header("Authorization")
             ?: return NotRun(RefusalReason.MISSING_API_KEY, "send 'Authorization: Bearer KEY'").left()
         val snapshot = lists.snapshot
+        if (snapshot === ListsSnapshot.Empty || !areListsCurrent()) return listsNotCurrent().left()
         val account = snapshot.accountByKeyHash(sha256(header.removePrefix(BEARER_PREFIX)))
         val plan = account?.let { snapshot.plan(it.plan) }
             ?: return NotRun(RefusalReason.UNKNOWN_API_KEY, "the API key is not known").left()
         return Caller(snapshot, account, plan).right()
     }
 
+    private fun listsNotCurrent(): NotRun = NotRun(
+        refusal = RefusalReason.LISTS_NOT_CURRENT,
+        message = "this entry reaches neither the platform nor another entry; use another address",
+        retryAfter = LISTS_RETRY_AFTER,
+    )
+
     private fun requestedModel(name: String, snapshot: ListsSnapshot): Either<NotRun, RequestedModel> {
         if (name == AUTOMATIC_MODEL) return RequestedModel.Automatic.right()
         val exact = ModelVersionReference.parse(name)
@@ -241,7 +252,7 @@
 }
 
 private fun sha256(text: String): String =
-    MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()).joinToString("") { "%02x".format(it) }
+    HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()))
 
 internal fun <T> Context.answerJson(serializer: KSerializer<T>, value: T) {
     contentType("application/json").result(PlatformJson.encodeToString(serializer, value))
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryPeerService.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryPeerService.kt
@@ -7,14 +7,16 @@
 import io.quetzalfield.peer.wire.PeerGrpc
 
 /** What an entry answers its peers. */
-internal class EntryPeerService(private val lists: ListsHolder) : PeerGrpc.PeerImplBase() {
+internal class EntryPeerService(private val lists: ListsHolder, private val onNewLists: () -> Unit = {}) :
+    PeerGrpc.PeerImplBase() {
     override fun exchangeLists(request: ListsOffer, observer: StreamObserver<ListsReply>) {
         observer.answer(lists.replyTo(request.revision))
     }
 
     override fun pushLists(request: ListsPush, observer: StreamObserver<ListsReply>) {
-        lists.adoptJson(request.lists.toStringUtf8())
+        val isNew = lists.adoptJson(request.lists.toStringUtf8())
         observer.answer(lists.replyTo(lists.revision.value))
+        if (isNew) onNewLists()
     }
 }
 
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -41,7 +41,15 @@
     private val gate = ShutdownGate()
     private val peers = PeerClients()
     private val peerServer = startPeerServer()
-    private val distribution = ListsDistribution(incarnation, lists, fleet, peers, store)
+    private val distribution = ListsDistribution(
+        incarnation = incarnation,
+        ownFailureDomain = settings.failureDomain,
+        lists = lists,
+        currency = ListsCurrency(settings.listsStaleAfter),
+        fleet = fleet,
+        peers = peers,
+        store = store,
+    )
     private val completions = CompletionService(
         ownFailureDomain = settings.failureDomain,
         routeChooser = CheapestSufficientRouteChooser(),
@@ -60,6 +68,7 @@
         addressValidity = settings.addressValidity,
         metrics = metrics,
         gate = gate,
+        areListsCurrent = distribution::isCurrent,
     )
     private val server: Javalin = startCallerServer()
     private val scheduler = newScheduler("entry")
@@ -67,12 +76,11 @@
     init {
         fleet.refresh()
         announce(isLeaving = false)
-        distribution.start()
         scheduler.every(settings.listRefresh) {
             fleet.refresh()
             announce(isLeaving = gate.isClosed)
         }
-        scheduler.every(settings.listRefresh, distribution::exchangeWithPeers)
+        scheduler.every(settings.listRefresh, distribution::refresh)
         scheduler.every(settings.loadRefresh, loads::refresh)
         scheduler.every(settings.billFlush, ledger::flush)
         logger.info("entry {} serves callers at {} and peers at {}", incarnation, callerAddress, peerAddress)
@@ -95,7 +103,7 @@
 
     private fun startPeerServer(): PeerServer {
         val address = requireNotNull(HostPort.parse(settings.peerAddress)) { "checked with the settings" }
-        return PeerServer(address.host, address.port, EntryPeerService(lists))
+        return PeerServer(address.host, address.port, EntryPeerService(lists, onNewLists = { distribution.spread() }))
     }
 
     private fun announce(isLeaving: Boolean) {
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntrySettings.kt
@@ -42,7 +42,7 @@
     val listRefresh: SettingDuration = 500.milliseconds,
     val loadRefresh: SettingDuration = 250.milliseconds,
     val billFlush: SettingDuration = 1.seconds,
-    val listsStaleAfter: SettingDuration = 15.seconds,
+    val listsStaleAfter: SettingDuration = 5.seconds,
     val shutdownGrace: SettingDuration = 2.minutes,
     val largestBodyBytes: Long = DEFAULT_LARGEST_BODY_BYTES,
 )
--- a/standins/src/main/kotlin/io/quetzalfield/standins/Main.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/Main.kt
@@ -113,6 +113,6 @@
 /** Starts `quetzalfield-standins`. */
 public fun main(arguments: Array<String>) {
     StandInsCommand()
-        .subcommands(PlatformCommand(), RunnerCommand(), ServiceCommand(), DemonstrationCommand())
+        .subcommands(PlatformCommand(), RunnerCommand(), ServiceCommand(), DemonstrationCommand(), LoadCommand())
         .main(arguments)
 }
