--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -6,6 +6,7 @@
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.model.ListsRevision
 import io.quetzalfield.peer.PeerClients
 import io.quetzalfield.peer.PeerServer
 import io.quetzalfield.platform.EtcdGatewayKeyValueStore
@@ -90,6 +91,9 @@
     public val callerAddress: String
         get() = "http://${HostPort.parse(settings.callerAddress)?.host}:${server.port()}"
 
+    /** The revision of the lists in force. */
+    public val listsRevision: ListsRevision get() = lists.revision
+
     private val peerAddress: String
         get() = "${HostPort.parse(settings.peerAddress)?.host}:${peerServer.port}"
 
