--- a/measurements/src/main/kotlin/io/quetzalfield/measurements/CapacityCommand.kt
+++ b/measurements/src/main/kotlin/io/quetzalfield/measurements/CapacityCommand.kt
@@ -19,7 +19,13 @@
 
 private const val BYTES_PER_MEGABYTE = 1_048_576.0
 private const val MICROSECONDS_PER_SECOND = 1_000_000.0
+private const val HEADING =
+    "entries runners accounts | % of a core | loopback B/s | store calls/s (all) | heap MB | lists B | change in force"
 private val WARM_UP = 8.seconds
+private val USUAL_SIZE = FleetSize(entries = 4, runners = 10, accounts = 10)
+private val ENTRY_COUNTS = listOf(4, 8, 16, 32)
+private val RUNNER_COUNTS = listOf(10, 20, 40, 80)
+private val ACCOUNT_COUNTS = listOf(10, 100, 1_000, 4_000)
 
 /** What one size cost, for each entry and second where not said otherwise. */
 internal data class CapacitySample(
@@ -37,12 +43,10 @@
     private val seconds by option("--seconds", help = "measured time for each size").int().default(10)
 
     override fun run() {
-        echo(
-            "entries runners accounts | % of a core | loopback B/s | store calls/s (all) | heap MB | lists B | change in force",
-        )
-        series(listOf(4, 8, 16, 32).map { FleetSize(entries = it, runners = 10, accounts = 10) })
-        series(listOf(10, 20, 40, 80).map { FleetSize(entries = 4, runners = it, accounts = 10) })
-        series(listOf(10, 100, 1_000, 4_000).map { FleetSize(entries = 4, runners = 10, accounts = it) })
+        echo(HEADING)
+        series(ENTRY_COUNTS.map { USUAL_SIZE.copy(entries = it) })
+        series(RUNNER_COUNTS.map { USUAL_SIZE.copy(runners = it) })
+        series(ACCOUNT_COUNTS.map { USUAL_SIZE.copy(accounts = it) })
     }
 
     private fun series(sizes: List<FleetSize>) {
@@ -101,6 +105,7 @@
         return system.processCpuTime.nanoseconds
     }
 
+    @Suppress("ExplicitGarbageCollectionCall") // Only what is still referenced is to be counted.
     private fun heapMegabytes(): Double {
         System.gc()
         return ManagementFactory.getMemoryMXBean().heapMemoryUsage.used / BYTES_PER_MEGABYTE
