--- a/entry/src/main/kotlin/io/quetzalfield/entry/BillLedger.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/BillLedger.kt
@@ -1,72 +1,129 @@
 package io.quetzalfield.entry
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import io.quetzalfield.model.ClientAccountId
 import io.quetzalfield.model.Incarnation
-import io.quetzalfield.model.RequestKey
 import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.StoreRevision
+import io.quetzalfield.platform.StoredValue
 import io.quetzalfield.platform.SwapResult
-import kotlinx.serialization.Serializable
+import io.quetzalfield.platform.bills.BillCell
+import io.quetzalfield.platform.bills.BillTotals
+import io.quetzalfield.platform.bills.CellState
+import io.quetzalfield.platform.bills.billCellKey
+import org.apache.logging.log4j.LogManager
 
-/** The key prefix under which each incarnation keeps its bill cell. */
-public const val BILL_CELL_PREFIX: String = "bills/cells/"
-
-/** Sums billed to one client account. Prices are in millionths of the operators' currency. */
-@Serializable
-public data class BillTotals(val answers: Long = 0, val tokens: Long = 0, val priceMicros: Long = 0)
+/** Counts what becomes of bills. */
+public fun interface BillObserver {
+    public fun onOutcome(outcome: WitnessOutcome)
+}
 
 /**
- * All that one incarnation has billed up to [sequence]. Only that incarnation writes it, always as a whole, so that
- * writing it again changes nothing.
+ * Bills each request key of an account once. A bill is at a witness in another failure domain before [record] returns,
+ * and comes into the incarnation's cell of the store with the next [flush].
+ *
+ * Once a steward has sealed the cell, the ledger goes on under a new incarnation, whose start number is that of
+ * [process] with a counter.
  */
-@Serializable
-public data class BillCell(val sequence: Long = 0, val totals: Map<ClientAccountId, BillTotals> = emptyMap())
+public class BillLedger(
+    private val process: Incarnation,
+    private val store: KeyValueStore,
+    private val witness: BillWitness = BillWitness.None,
+    private val billedKeys: BilledKeys = BilledKeys(),
+    private val observer: BillObserver = BillObserver { },
+) {
+    private val flushLock = Any()
+    private val bookLock = Any()
 
-/** A bill for one answer. */
-public data class Bill(val account: ClientAccountId, val key: RequestKey, val tokens: Long, val priceMicros: Long)
+    @Volatile
+    private var book = BillBook(process)
+    private var bookCount = 1
+    private val sealedBooks = ArrayDeque<BillBook>()
 
-/** Bills each request key of an account once and keeps the sums in the incarnation's cell of the store. */
-public class BillLedger(incarnation: Incarnation, private val store: KeyValueStore) {
-    private val cellKey = BILL_CELL_PREFIX + incarnation
-    private val lock = Any()
-    private val billedKeys = mutableSetOf<Pair<ClientAccountId, RequestKey>>()
-    private var cell = BillCell()
-    private var storedSequence = 0L
-    private var storedRevision = StoreRevision.Absent
+    /** The incarnation under which bills are numbered now. */
+    public val incarnation: Incarnation get() = book.incarnation
 
     /** Records [bill] unless its key was billed before; `true` when it was recorded. */
-    public fun record(bill: Bill): Boolean = synchronized(lock) {
-        if (!billedKeys.add(bill.account to bill.key)) return@synchronized false
-        val former = cell.totals[bill.account] ?: BillTotals()
-        val sum = BillTotals(
-            answers = former.answers + 1,
-            tokens = former.tokens + bill.tokens,
-            priceMicros = former.priceMicros + bill.priceMicros,
-        )
-        cell = BillCell(cell.sequence + 1, cell.totals + (bill.account to sum))
-        true
+    public fun record(bill: Bill): Boolean {
+        val owner = book.incarnation
+        if (!billedKeys.begin(bill.accountKey, owner)) return false
+        return settle(bill, owner)
+    }
+
+    /** The sums of [account] that the present incarnation has billed. */
+    public fun totals(account: ClientAccountId): BillTotals = book.cell.totals[account] ?: BillTotals()
+
+    private fun settle(bill: Bill, owner: Incarnation): Boolean {
+        val current = book
+        val numbered = current.open(bill)
+        val outcome = witness.store(numbered)
+        observer.onOutcome(outcome)
+        if (outcome == WitnessOutcome.SEALED) {
+            current.decide(numbered.sequence, BillProgress.VOID)
+            replaceBook(current)
+            return settle(bill, owner)
+        }
+        val isOwned = billedKeys.finish(bill.accountKey, owner) && outcome != WitnessOutcome.ALREADY_BILLED
+        val kept = if (outcome == WitnessOutcome.STORED) BillProgress.WITNESSED else BillProgress.LOCAL
+        current.decide(numbered.sequence, if (isOwned) kept else BillProgress.VOID)
+        return isOwned
     }
 
-    /** The sums of [account] that this incarnation has billed. */
-    public fun totals(account: ClientAccountId): BillTotals =
-        synchronized(lock) { cell.totals[account] ?: BillTotals() }
+    /**
+     * Writes the cell if it has changed since it was last stored, and tells the witnesses what is stored. Bills whose
+     * witness has gone are stored at another one.
+     */
+    public fun flush(): Unit = synchronized(flushLock) {
+        val current = book
+        val written = current.cell
+        if (written.sequence != current.storedSequence) write(current, written)
+        if (current !== book) return
+        witness.forget(current.incarnation, current.storedSequence.coerceAtLeast(0))
+        current.linesAfter(current.storedSequence, BillProgress.WITNESSED)
+            .filter { witness.isLost(it.incarnation, it.sequence) }
+            .forEach { observer.onOutcome(witness.store(it)) }
+        synchronized(bookLock) { sealedBooks.toList() }.forEach(::carryOver)
+    }
 
-    /** Writes the cell if it has changed since it was last stored. */
-    public fun flush() {
-        val written = synchronized(lock) { cell }
-        if (written.sequence == storedSequence) return
-        val json = PlatformJson.encodeToString(BillCell.serializer(), written)
-        val result = store.compareAndSwap(cellKey, storedRevision, json)
+    private fun write(current: BillBook, written: BillCell) {
+        val result = store.compareAndSwap(billCellKey(current.incarnation), current.storedRevision, written.toJson())
         if (result !is Either.Right) return
         when (val swap = result.value) {
-            is SwapResult.Swapped -> {
-                storedRevision = swap.stored
-                storedSequence = written.sequence
-            }
-
-            is SwapResult.Conflict -> storedRevision = swap.current?.modified ?: StoreRevision.Absent
+            is SwapResult.Swapped -> current.noteStored(written.sequence, swap.stored)
+            is SwapResult.Conflict -> resolveConflict(current, swap.current)
         }
     }
+
+    /** Tells an earlier write of this ledger, whose answer was lost, from a seal. */
+    private fun resolveConflict(current: BillBook, stored: StoredValue?) {
+        val cell = stored?.let { BillCell.fromJson(it.value) }
+        if (cell?.state == CellState.OPEN) current.noteStored(cell.sequence, stored.modified) else replaceBook(current)
+    }
+
+    private fun replaceBook(sealed: BillBook): Unit = synchronized(bookLock) {
+        if (book !== sealed) return
+        bookCount++
+        sealedBooks += sealed
+        book = BillBook(process.copy(start = "${process.start}$COUNTER_SEPARATOR$bookCount"))
+        logger.warn("the bill cell of {} was sealed; bills go on under {}", sealed.incarnation, book.incarnation)
+    }
+
+    /**
+     * Bills again, under the new incarnation, what the sealed cell lacks and no witness kept. What a witness kept is
+     * collected from there.
+     */
+    private fun carryOver(sealed: BillBook) {
+        if (sealed.hasPending) return
+        val stored = store.read(billCellKey(sealed.incarnation)).getOrElse { return }
+        val cell = stored?.let { BillCell.fromJson(it.value) }
+        if (cell?.state == CellState.OPEN) return
+        synchronized(bookLock) { sealedBooks.remove(sealed) }
+        if (cell == null) return
+        sealed.linesAfter(cell.sequence, BillProgress.LOCAL).forEach { settle(it.bill, sealed.incarnation) }
+    }
+
+    private companion object {
+        const val COUNTER_SEPARATOR = "."
+        val logger = LogManager.getLogger(BillLedger::class.java)
+    }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/BilledKeys.kt
@@ -0,0 +1,50 @@
+package io.quetzalfield.entry
+
+import io.quetzalfield.model.Incarnation
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.TimeSource
+
+/**
+ * The request keys that this entry knows to be billed, by itself or by an entry for which it is a witness. Keys are
+ * kept for [retention] and at most [largestSize] of them; a repetition that comes later is billed anew.
+ */
+public class BilledKeys(
+    retention: Duration = 10.minutes,
+    largestSize: Int = 262_144,
+    timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) {
+    private class Ownership(val owner: Incarnation, val isPending: Boolean)
+
+    private val owners = ExpiringMap<AccountKey, Ownership>(retention, largestSize, timeSource)
+
+    /** Takes [key] for [owner], whose witness has not answered yet; `false` when the key is taken. */
+    public fun begin(key: AccountKey, owner: Incarnation): Boolean = owners.access(key) { slot ->
+        val isFree = slot.value == null
+        if (isFree) slot.value = Ownership(owner, isPending = true)
+        isFree
+    }
+
+    /**
+     * Ends what [begin] began; `true` when the key still belongs to [owner]. The key stays billed in any case, as
+     * another owner has it when [owner] does not.
+     */
+    public fun finish(key: AccountKey, owner: Incarnation): Boolean = owners.access(key) { slot ->
+        val isOwned = slot.value == null || slot.value?.owner == owner
+        if (isOwned) slot.value = Ownership(owner, isPending = false)
+        isOwned
+    }
+
+    /**
+     * Takes [key] for [sender], for which this entry is a witness; `false` when it is billed by another.
+     *
+     * Two entries that run the same key at once may be each other's witness. Then the lower incarnation has the key,
+     * so that exactly one of them is told that it is billed already.
+     */
+    public fun witness(key: AccountKey, sender: Incarnation): Boolean = owners.access(key) { slot ->
+        val current = slot.value
+        val isFree = current == null || current.owner == sender || (current.isPending && sender < current.owner)
+        if (isFree) slot.value = Ownership(sender, isPending = false)
+        isFree
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CallerRequests.kt
@@ -0,0 +1,199 @@
+package io.quetzalfield.entry
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import com.google.protobuf.ByteString
+import io.quetzalfield.decision.HomeScope
+import io.quetzalfield.model.InterruptionReason
+import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.model.MayHaveRun
+import io.quetzalfield.model.NotRun
+import io.quetzalfield.model.RefusalReason
+import io.quetzalfield.model.RequestFailure
+import io.quetzalfield.model.RequestKey
+import io.quetzalfield.model.ServiceId
+import io.quetzalfield.peer.wire.ForwardRequest
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The text of a call of a plain service.
+ *
+ * @property key the caller's own idempotency key.
+ * @property ticket a ticket that an entry has minted.
+ */
+internal class ServiceText(
+    val service: String,
+    val operation: String,
+    val body: ByteArray,
+    val contentType: String,
+    val key: String?,
+    val ticket: String?,
+)
+
+/**
+ * Runs the requests of known callers, or forwards those that belong to another entry: requests with the caller's key
+ * to the home of the key, and operations under a ticket to the entry that minted it. What was forwarded once is not
+ * forwarded again.
+ */
+internal class CallerRequests(
+    private val reader: CompletionReader,
+    private val completions: KeyedCompletions,
+    private val services: ServiceCallService,
+    private val ticketTokens: SignedTokens<Ticket>,
+    private val forwarder: Forwarder,
+    private val metrics: EntryMetrics,
+) {
+    /** Answers a completion request on [channel], whatever comes of it. */
+    fun complete(caller: Caller, text: CompletionText, channel: AnswerChannel, isForwarded: Boolean = false) {
+        when (val call = reader.read(text, caller)) {
+            is Either.Left -> refuse(call.value, channel)
+            is Either.Right -> complete(call.value, text, channel, isForwarded)
+        }
+    }
+
+    private fun complete(call: CompletionCall, text: CompletionText, channel: AnswerChannel, isForwarded: Boolean) {
+        val home = if (isForwarded || !call.isKeyedByCaller) null else forwarder.otherHome(call.homeScope)
+        if (home != null && isAnsweredBy(home, call, text, channel)) return
+        val writer = CompletionWriter(channel, call.body.stream, call.id.value)
+        completions.complete(call, text.body, writer).fold(writer::fail, writer::finish)
+    }
+
+    /** Forwards the call; `false` when nothing came of it, so that this entry may run the repeatable request itself. */
+    private fun isAnsweredBy(
+        home: ListedInstance,
+        call: CompletionCall,
+        text: CompletionText,
+        channel: AnswerChannel,
+    ): Boolean {
+        val request = ForwardRequest.newBuilder()
+            .setClientAccount(call.account.id.value)
+            .setRequestKey(call.key.value)
+            .setCallerKey(true)
+            .setKind(text.kind.orEmpty())
+            .setSessionToken(text.sessionToken.orEmpty())
+            .setBody(ByteString.copyFromUtf8(text.body))
+            .build()
+        val timeout = call.plan.deadlineMilliseconds.milliseconds
+        return when (forwarder.forward(home, request, timeout, channel)) {
+            ForwardOutcome.SERVED -> true
+
+            ForwardOutcome.NOT_SENT, ForwardOutcome.UNKNOWN -> false
+
+            ForwardOutcome.CUT -> {
+                reportCut(home, call, channel)
+                true
+            }
+        }
+    }
+
+    private fun reportCut(home: ListedInstance, call: CompletionCall, channel: AnswerChannel) {
+        val failure = MayHaveRun(InterruptionReason.CONNECTION_LOST, "${home.id} broke the answer off")
+        metrics.countFailure(failure)
+        if (call.body.stream) CompletionWriter(channel, isStreamed = true, call.id.value).fail(failure)
+    }
+
+    /** Answers a call of a plain service on [channel], whatever comes of it. */
+    fun callService(caller: Caller, text: ServiceText, channel: AnswerChannel, isForwarded: Boolean = false) {
+        val call = ServiceCall(
+            account = caller.account.id,
+            service = ServiceId(text.service),
+            operation = text.operation,
+            body = text.body,
+            contentType = text.contentType,
+        )
+        val result = checkService(caller, call).flatMap { isRepeatable ->
+            if (isRepeatable) {
+                services.run(call).map { answer(it, channel) }
+            } else {
+                runAtMostOnce(caller, call, text, channel, isForwarded)
+            }
+        }
+        result.onLeft { refuse(it, channel) }
+    }
+
+    /** Whether the operation may be repeated, if the plan allows the service at all. */
+    private fun checkService(caller: Caller, call: ServiceCall): Either<NotRun, Boolean> {
+        val service = caller.snapshot.service(call.service)
+            ?: return NotRun(RefusalReason.UNKNOWN_SERVICE, "no service is named ${call.service}").left()
+        if (!caller.snapshot.isServiceAllowed(caller.plan.id, call.service)) {
+            return NotRun(RefusalReason.NOT_ALLOWED_BY_PLAN, "the plan does not allow ${call.service}").left()
+        }
+        return (call.operation !in service.nonIdempotentOperations).right()
+    }
+
+    private fun runAtMostOnce(
+        caller: Caller,
+        call: ServiceCall,
+        text: ServiceText,
+        channel: AnswerChannel,
+        isForwarded: Boolean,
+    ): Either<RequestFailure, Unit> {
+        if (text.ticket != null) return runUnderTicket(caller, call, text, channel, isForwarded)
+        val key = text.key ?: return NotRun(RefusalReason.MISSING_IDEMPOTENCY_KEY, MISSING_KEY_MESSAGE).left()
+        val home = if (isForwarded) null else forwarder.otherHome(HomeScope(key))
+        if (home != null) {
+            when (forward(home, call, text, channel)) {
+                ForwardOutcome.SERVED -> return Unit.right()
+                ForwardOutcome.NOT_SENT -> Unit
+                else -> return unknown("${home.id} may have run the operation").left()
+            }
+        }
+        return services.runClaimed(call, RequestKey(key)).map { answer(it, channel) }
+    }
+
+    private fun runUnderTicket(
+        caller: Caller,
+        call: ServiceCall,
+        text: ServiceText,
+        channel: AnswerChannel,
+        isForwarded: Boolean,
+    ): Either<RequestFailure, Unit> = ticketTokens.verify(text.ticket.orEmpty(), caller.snapshot)
+        .mapLeft { NotRun(RefusalReason.INVALID_TICKET, "ticket: ${it.message}") }
+        .flatMap { ticket ->
+            val minter = if (isForwarded || services.owns(ticket)) null else forwarder.entryOf(ticket.incarnation)
+            if (minter != null) {
+                val outcome = forward(minter, call, text, channel)
+                if (outcome == ForwardOutcome.SERVED) Unit.right() else unknown("${minter.id} gave no answer").left()
+            } else {
+                services.runOnce(call, ticket).map { answer(it, channel) }
+            }
+        }
+
+    private fun forward(
+        entry: ListedInstance,
+        call: ServiceCall,
+        text: ServiceText,
+        channel: AnswerChannel,
+    ): ForwardOutcome {
+        val request = ForwardRequest.newBuilder()
+            .setClientAccount(call.account.value)
+            .setService(call.service.value)
+            .setOperation(call.operation)
+            .setRequestKey(text.key.orEmpty())
+            .setTicket(text.ticket.orEmpty())
+            .setContentType(call.contentType)
+            .setBody(ByteString.copyFrom(call.body))
+            .build()
+        return forwarder.forward(entry, request, FORWARDED_SERVICE_TIMEOUT, channel)
+    }
+
+    private fun unknown(message: String): RequestFailure = MayHaveRun(InterruptionReason.OUTCOME_UNKNOWN, message)
+
+    private fun answer(answer: ServiceAnswer, channel: AnswerChannel) {
+        channel.start(answer.status, mapOf(CONTENT_TYPE_HEADER to answer.contentType))
+        channel.write(answer.body)
+    }
+
+    private fun refuse(failure: RequestFailure, channel: AnswerChannel) {
+        metrics.countFailure(failure)
+        if (!channel.hasStarted) channel.fail(failure, requestId = null)
+    }
+
+    private companion object {
+        const val MISSING_KEY_MESSAGE = "the operation needs a ticket or an idempotency key"
+        val FORWARDED_SERVICE_TIMEOUT = 35.seconds
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ClaimLeases.kt
@@ -0,0 +1,52 @@
+package io.quetzalfield.entry
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.quetzalfield.platform.KeyValueError
+import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.platform.LeaseId
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/**
+ * Leases that remove claims by lapsing. One lease takes the claims of a [period] and is never extended, so that each
+ * claim lasts for [retention] at least.
+ */
+internal class ClaimLeases(
+    private val store: KeyValueStore,
+    private val retention: Duration = 24.hours,
+    private val period: Duration = 1.hours,
+    private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) {
+    private class Granted(val lease: LeaseId, val askedAt: ComparableTimeMark)
+
+    private class Failed(val error: KeyValueError, val since: ComparableTimeMark)
+
+    private var granted: Granted? = null
+    private var failed: Failed? = null
+
+    /** The lease for claims that are made now. After a failure the store is left alone for a moment. */
+    @Synchronized
+    fun current(): Either<KeyValueError, LeaseId> {
+        granted?.takeIf { it.askedAt.elapsedNow() < period }?.let { return it.lease.right() }
+        failed?.takeIf { it.since.elapsedNow() < FAILURE_PAUSE }?.let { return it.error.left() }
+        val askedAt = timeSource.markNow()
+        return store.grantLease(retention + period)
+            .onRight { granted = Granted(it, askedAt) }
+            .onLeft { failed = Failed(it, timeSource.markNow()) }
+    }
+
+    /** Stops using [lease], which the store does not know any more. */
+    @Synchronized
+    fun discard(lease: LeaseId) {
+        if (granted?.lease == lease) granted = null
+    }
+
+    private companion object {
+        val FAILURE_PAUSE = 1.seconds
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionReader.kt
@@ -0,0 +1,104 @@
+package io.quetzalfield.entry
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import io.quetzalfield.decision.RequestedModel
+import io.quetzalfield.decision.RouteRequest
+import io.quetzalfield.model.ClientAccount
+import io.quetzalfield.model.ListsSnapshot
+import io.quetzalfield.model.ModelId
+import io.quetzalfield.model.ModelVersionReference
+import io.quetzalfield.model.NotRun
+import io.quetzalfield.model.Plan
+import io.quetzalfield.model.RefusalReason
+import io.quetzalfield.model.RequestId
+import io.quetzalfield.model.RequestKey
+import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.platform.engine.ChatCompletionRequest
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import java.util.UUID
+
+private const val DEFAULT_KIND = "general"
+
+/** A caller whose API key was recognised, with the snapshot that its request is decided against. */
+internal class Caller(val snapshot: ListsSnapshot, val account: ClientAccount, val plan: Plan)
+
+/**
+ * The text of a completion request.
+ *
+ * @property key the caller's own idempotency key.
+ */
+internal class CompletionText(val body: String, val key: String?, val kind: String?, val sessionToken: String?)
+
+/** Turns the text of completion requests into typed calls. */
+internal class CompletionReader(private val sessionTokens: SignedTokens<SessionPin>) {
+    fun read(text: CompletionText, caller: Caller): Either<NotRun, CompletionCall> =
+        parseBody(text.body, ChatCompletionRequest.serializer()).flatMap { body ->
+            requestedModel(body.model, caller.snapshot).flatMap { requested ->
+                readPin(text.sessionToken, caller).map { pin -> call(text, caller, body, requested, pin) }
+            }
+        }
+
+    private fun call(
+        text: CompletionText,
+        caller: Caller,
+        body: ChatCompletionRequest,
+        requested: RequestedModel,
+        pin: SessionPin?,
+    ): CompletionCall = CompletionCall(
+        id = RequestId(UUID.randomUUID().toString()),
+        snapshot = caller.snapshot,
+        account = caller.account,
+        plan = caller.plan,
+        key = RequestKey(text.key ?: UUID.randomUUID().toString()),
+        route = RouteRequest(
+            plan = caller.plan,
+            kind = text.kind ?: DEFAULT_KIND,
+            requested = requested,
+            expectedTokens = body.maximumTokens ?: RouteRequest.DEFAULT_EXPECTED_TOKENS,
+        ),
+        pin = pin,
+        body = body,
+        isKeyedByCaller = text.key != null,
+    )
+
+    private fun readPin(token: String?, caller: Caller): Either<NotRun, SessionPin?> {
+        if (token == null) return null.right()
+        return sessionTokens.verify(token, caller.snapshot)
+            .mapLeft { NotRun(RefusalReason.INVALID_SESSION, "session token: ${it.message}") }
+            .flatMap { pin ->
+                if (pin.account == caller.account.id) {
+                    pin.right()
+                } else {
+                    NotRun(RefusalReason.INVALID_SESSION, "the session belongs to another account").left()
+                }
+            }
+    }
+}
+
+/** What the model name of a request stands for. */
+internal fun requestedModel(name: String, snapshot: ListsSnapshot): Either<NotRun, RequestedModel> {
+    if (name == AUTOMATIC_MODEL) return RequestedModel.Automatic.right()
+    val exact = ModelVersionReference.parse(name)
+    return when {
+        exact == null && snapshot.hasModel(ModelId(name)) -> RequestedModel.AnyVersion(ModelId(name)).right()
+
+        exact == null || !snapshot.hasModel(exact.model) ->
+            NotRun(RefusalReason.UNKNOWN_MODEL, "no model is named $name").left()
+
+        snapshot.version(exact) == null ->
+            NotRun(RefusalReason.UNKNOWN_VERSION, "model ${exact.model} has no version ${exact.version}").left()
+
+        else -> RequestedModel.Exactly(exact).right()
+    }
+}
+
+/** Reads a request body. */
+internal fun <T> parseBody(text: String, serializer: KSerializer<T>): Either<NotRun, T> = try {
+    PlatformJson.decodeFromString(serializer, text).right()
+} catch (error: SerializationException) {
+    NotRun(RefusalReason.MALFORMED_BODY, error.message.orEmpty().lineSequence().first()).left()
+}
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
@@ -4,6 +4,7 @@
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
+import io.quetzalfield.decision.HomeScope
 import io.quetzalfield.decision.Route
 import io.quetzalfield.decision.RouteChooser
 import io.quetzalfield.decision.RouteRequest
@@ -37,6 +38,7 @@
  * A completion that a caller asked for, decided against one [snapshot].
  *
  * @property pin the version that the request's session keeps.
+ * @property isKeyedByCaller whether the caller chose [key], so that the request may be sent again under it.
  */
 public data class CompletionCall(
     val id: RequestId,
@@ -47,7 +49,11 @@
     val route: RouteRequest,
     val pin: SessionPin?,
     val body: ChatCompletionRequest,
-)
+    val isKeyedByCaller: Boolean = false,
+) {
+    /** What the home of the request is chosen by. */
+    val homeScope: HomeScope get() = HomeScope.of(key, pin?.session)
+}
 
 /** Takes a completion while it runs. */
 public interface CompletionSink {
@@ -189,7 +195,7 @@
         val costPerThousandTokens = run.call.snapshot.version(run.version)?.costPerThousandTokens ?: 0.0
         val tokens = result.usage.completionTokens.toLong()
         val priceMicros = Math.round(tokens * costPerThousandTokens * MICROS_PER_UNIT / TOKENS_PER_PRICE)
-        val isBilled = ledger.record(Bill(run.call.account.id, run.call.key, tokens, priceMicros))
+        val isBilled = ledger.record(Bill(run.call.account.id, run.call.key, tokens, priceMicros, run.call.homeScope))
         journal.record(run.call.id, RequestEvent.Answered(run.version, result.usage.completionTokens))
         journal.record(run.call.id, RequestEvent.Billed(priceMicros, isBilled))
         val elapsed = run.started.elapsedNow()
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionWriter.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionWriter.kt
@@ -1,6 +1,5 @@
 package io.quetzalfield.entry
 
-import io.javalin.http.Context
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.RequestFailure
 import io.quetzalfield.platform.PlatformJson
@@ -12,16 +11,14 @@
 import io.quetzalfield.platform.engine.ChatDelta
 import io.quetzalfield.platform.engine.ChatMessage
 import io.quetzalfield.platform.engine.STREAM_END
-import io.quetzalfield.support.EventStreamWriter
-import java.io.IOException
+import io.quetzalfield.support.eventFrame
 
-/** Writes a completion to its caller, as a stream of events or as one body. */
+/** Writes a completion to [channel], as a stream of events or as one body. */
 internal class CompletionWriter(
-    private val context: Context,
+    private val channel: AnswerChannel,
     private val isStreamed: Boolean,
     private val requestId: String,
 ) : CompletionSink {
-    private val events = EventStreamWriter(context)
     private val collected = StringBuilder()
     private val completionId = COMPLETION_ID_PREFIX + requestId
     private var version: ModelVersionReference? = null
@@ -29,7 +26,6 @@
 
     override fun onStart(version: ModelVersionReference) {
         this.version = version
-        context.header(REQUEST_HEADER, requestId).header(VERSION_HEADER, version.toString())
     }
 
     override fun onToken(text: String) {
@@ -39,30 +35,30 @@
             return
         }
         val choice = ChatChunkChoice(delta = ChatDelta(content = text))
-        sendOrGone(chunk().copy(choices = listOf(choice), tokenOffset = offset))
+        sendEvent(chunk().copy(choices = listOf(choice), tokenOffset = offset))
     }
 
     /** Ends the answer; its bill is stored by now. */
     fun finish(report: CompletionReport) {
+        version = report.version
         val bill = AnswerBill(report.version.toString(), report.priceMicros, report.isBilled)
         if (isStreamed) finishStream(report, bill) else writeWhole(report, bill)
     }
 
     /** Reports that there is no whole answer; a stream that has started gets an error event and no end marker. */
     fun fail(failure: RequestFailure) {
-        if (events.hasStarted) {
-            val body = PlatformJson.encodeToString(ErrorBody.serializer(), failure.toErrorBody(requestId))
-            sendOrGone(body)
+        if (channel.hasStarted) {
+            sendEvent(PlatformJson.encodeToString(ErrorBody.serializer(), failure.toErrorBody(requestId)))
         } else {
-            context.writeFailure(failure, requestId)
+            channel.fail(failure, requestId)
         }
     }
 
     private fun finishStream(report: CompletionReport, bill: AnswerBill) {
         val finish = ChatChunkChoice(finishReason = report.finishReason)
-        sendOrGone(chunk().copy(choices = listOf(finish)))
-        sendOrGone(PlatformJson.encodeToString(BilledChunk.serializer(), BilledChunk(completionId, report.usage, bill)))
-        sendOrGone(STREAM_END)
+        sendEvent(chunk().copy(choices = listOf(finish)))
+        sendEvent(PlatformJson.encodeToString(BilledChunk.serializer(), BilledChunk(completionId, report.usage, bill)))
+        sendEvent(STREAM_END)
     }
 
     private fun writeWhole(report: CompletionReport, bill: AnswerBill) {
@@ -73,21 +69,30 @@
             choices = listOf(ChatChoice(message = message, finishReason = report.finishReason)),
             usage = report.usage,
         )
-        context.header(BILL_HEADER, PlatformJson.encodeToString(AnswerBill.serializer(), bill))
-        context.answerJson(ChatCompletion.serializer(), completion)
+        val billHeader = BILL_HEADER to PlatformJson.encodeToString(AnswerBill.serializer(), bill)
+        channel.start(OK_STATUS, answerHeaders(JSON_CONTENT_TYPE) + billHeader)
+        channel.write(PlatformJson.encodeToString(ChatCompletion.serializer(), completion).encodeToByteArray())
     }
 
     private fun chunk() = ChatCompletionChunk(completionId, model = version.toString())
 
-    private fun sendOrGone(chunk: ChatCompletionChunk) {
-        sendOrGone(PlatformJson.encodeToString(ChatCompletionChunk.serializer(), chunk))
+    private fun sendEvent(chunk: ChatCompletionChunk) {
+        sendEvent(PlatformJson.encodeToString(ChatCompletionChunk.serializer(), chunk))
     }
 
-    private fun sendOrGone(line: String) {
-        try {
-            events.send(line)
-        } catch (error: IOException) {
-            throw CallerGoneException(error)
-        }
+    private fun sendEvent(line: String) {
+        if (!channel.hasStarted) channel.start(OK_STATUS, answerHeaders(EVENT_STREAM_CONTENT_TYPE) + NO_STORE)
+        channel.write(eventFrame(line))
+    }
+
+    private fun answerHeaders(contentType: String): Map<String, String> = mapOf(
+        CONTENT_TYPE_HEADER to contentType,
+        REQUEST_HEADER to requestId,
+        VERSION_HEADER to version.toString(),
+    )
+
+    private companion object {
+        const val OK_STATUS = 200
+        val NO_STORE = "Cache-Control" to "no-store"
     }
 }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
@@ -41,6 +41,25 @@
         .help("Time from the request to the end of the answer")
         .register(registry)
 
+    private val bills = Counter.builder()
+        .name("quetzalfield_bills_total")
+        .help("Bills, by what their witness answered")
+        .labelNames("witness")
+        .register(registry)
+    private val forwards = Counter.builder()
+        .name("quetzalfield_forwards_total")
+        .help("Requests whose home is another entry, by what came of the forwarding")
+        .labelNames("outcome")
+        .register(registry)
+
+    public fun countBill(outcome: WitnessOutcome) {
+        bills.labelValues(outcome.label).inc()
+    }
+
+    public fun countForward(outcome: ForwardOutcome) {
+        forwards.labelValues(outcome.label).inc()
+    }
+
     public fun countFailure(failure: RequestFailure) {
         failures.labelValues(failure.reason).inc()
     }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryPeerService.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryPeerService.kt
@@ -1,13 +1,29 @@
 package io.quetzalfield.entry
 
+import io.grpc.Status
 import io.grpc.stub.StreamObserver
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.peer.wire.BillRecord
+import io.quetzalfield.peer.wire.CollectReply
+import io.quetzalfield.peer.wire.CollectRequest
+import io.quetzalfield.peer.wire.ForgetReply
+import io.quetzalfield.peer.wire.ForgetRequest
+import io.quetzalfield.peer.wire.ForwardReply
+import io.quetzalfield.peer.wire.ForwardRequest
 import io.quetzalfield.peer.wire.ListsOffer
 import io.quetzalfield.peer.wire.ListsPush
 import io.quetzalfield.peer.wire.ListsReply
 import io.quetzalfield.peer.wire.PeerGrpc
+import io.quetzalfield.peer.wire.WitnessReply
+import io.quetzalfield.peer.wire.WitnessedReply
+import io.quetzalfield.peer.wire.WitnessedRequest
 
 /** What an entry answers its peers. */
-internal class EntryPeerService(private val lists: ListsHolder) : PeerGrpc.PeerImplBase() {
+internal class EntryPeerService(
+    private val lists: ListsHolder,
+    private val witnessedBills: WitnessedBills,
+    private val forwarded: ForwardedRequests,
+) : PeerGrpc.PeerImplBase() {
     override fun exchangeLists(request: ListsOffer, observer: StreamObserver<ListsReply>) {
         observer.answer(lists.replyTo(request.revision))
     }
@@ -16,9 +32,37 @@
         lists.adoptJson(request.lists.toStringUtf8())
         observer.answer(lists.replyTo(lists.revision.value))
     }
+
+    override fun witnessBill(request: BillRecord, observer: StreamObserver<WitnessReply>) {
+        observer.answer(WitnessReply.newBuilder().setVerdict(witnessedBills.store(request)).build())
+    }
+
+    override fun forgetBills(request: ForgetRequest, observer: StreamObserver<ForgetReply>) {
+        val incarnation = Incarnation.parse(request.incarnation) ?: return observer.refuse(request.incarnation)
+        witnessedBills.forget(incarnation, request.throughSequence)
+        observer.answer(ForgetReply.getDefaultInstance())
+    }
+
+    override fun collectBills(request: CollectRequest, observer: StreamObserver<CollectReply>) {
+        val incarnation = Incarnation.parse(request.incarnation) ?: return observer.refuse(request.incarnation)
+        val records = witnessedBills.collect(incarnation, request.afterSequence)
+        observer.answer(CollectReply.newBuilder().addAllRecords(records).build())
+    }
+
+    override fun listWitnessed(request: WitnessedRequest, observer: StreamObserver<WitnessedReply>) {
+        observer.answer(WitnessedReply.newBuilder().addAllIncarnations(witnessedBills.incarnations()).build())
+    }
+
+    override fun forward(request: ForwardRequest, observer: StreamObserver<ForwardReply>) {
+        forwarded.run(request, observer)
+    }
 }
 
 internal fun <T> StreamObserver<T>.answer(reply: T) {
     onNext(reply)
     onCompleted()
 }
+
+private fun StreamObserver<*>.refuse(incarnation: String) {
+    onError(Status.INVALID_ARGUMENT.withDescription("'$incarnation' names no incarnation").asException())
+}
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -37,10 +37,17 @@
     private val lists = ListsHolder()
     private val fleet = FleetView(directory)
     private val loads = RunnerLoadTracker(fleet, client)
-    private val ledger = BillLedger(incarnation, store)
     private val gate = ShutdownGate()
     private val peers = PeerClients()
-    private val peerServer = startPeerServer()
+    private val scheduler = newScheduler("entry")
+    private val billedKeys = BilledKeys()
+    private val ledger = BillLedger(
+        process = incarnation,
+        store = store,
+        witness = PeerBillWitness(settings.instance, settings.failureDomain, fleet, peers),
+        billedKeys = billedKeys,
+        observer = metrics::countBill,
+    )
     private val distribution = ListsDistribution(incarnation, lists, fleet, peers, store)
     private val completions = CompletionService(
         ownFailureDomain = settings.failureDomain,
@@ -52,17 +59,31 @@
         ledger = ledger,
         metrics = metrics,
     )
+    private val services = ServiceCallService(incarnation, ServiceClient(fleet, client), store)
+    private val sessionTokens = SignedTokens("session", SessionPin.serializer())
+    private val ticketTokens = SignedTokens("ticket", Ticket.serializer())
+    private val requests = CallerRequests(
+        reader = CompletionReader(sessionTokens),
+        completions = KeyedCompletions(completions),
+        services = services,
+        ticketTokens = ticketTokens,
+        forwarder = Forwarder(incarnation, fleet, peers, scheduler, metrics),
+        metrics = metrics,
+    )
     private val callerApi = CallerApi(
         lists = lists,
         fleet = fleet,
         completions = completions,
-        services = ServiceCallService(incarnation, fleet, client),
+        services = services,
+        requests = requests,
+        sessionTokens = sessionTokens,
+        ticketTokens = ticketTokens,
         addressValidity = settings.addressValidity,
         metrics = metrics,
         gate = gate,
     )
+    private val peerServer = startPeerServer()
     private val server: Javalin = startCallerServer()
-    private val scheduler = newScheduler("entry")
 
     init {
         fleet.refresh()
@@ -95,7 +116,12 @@
 
     private fun startPeerServer(): PeerServer {
         val address = requireNotNull(HostPort.parse(settings.peerAddress)) { "checked with the settings" }
-        return PeerServer(address.host, address.port, EntryPeerService(lists))
+        val forwarded = ForwardedRequests(lists, gate, requests)
+        return PeerServer(
+            address.host,
+            address.port,
+            EntryPeerService(lists, WitnessedBills(billedKeys), forwarded),
+        )
     }
 
     private fun announce(isLeaving: Boolean) {
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ForwardedRequests.kt
@@ -0,0 +1,72 @@
+package io.quetzalfield.entry
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.grpc.Status
+import io.grpc.stub.StreamObserver
+import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.NotRun
+import io.quetzalfield.model.RefusalReason
+import io.quetzalfield.peer.wire.ForwardReply
+import io.quetzalfield.peer.wire.ForwardRequest
+
+/** Runs requests that other entries forward to this one, as it runs those of its own callers. */
+internal class ForwardedRequests(
+    private val lists: ListsHolder,
+    private val gate: ShutdownGate,
+    private val requests: CallerRequests,
+) {
+    fun run(request: ForwardRequest, observer: StreamObserver<ForwardReply>) {
+        val isRun = gate.enter {
+            try {
+                observer.onNext(ForwardReply.getDefaultInstance())
+                runHere(request, PeerAnswerChannel(observer))
+                observer.onCompleted()
+            } catch (_: CallerGoneException) {
+                observer.onError(Status.CANCELLED.asException())
+            }
+        }
+        if (isRun == null) observer.onError(Status.FAILED_PRECONDITION.withDescription("shutting down").asException())
+    }
+
+    private fun runHere(request: ForwardRequest, channel: AnswerChannel) {
+        when (val caller = caller(ClientAccountId(request.clientAccount))) {
+            is Either.Left -> channel.fail(caller.value, requestId = null)
+            is Either.Right -> runFor(caller.value, request, channel)
+        }
+    }
+
+    private fun runFor(caller: Caller, request: ForwardRequest, channel: AnswerChannel) {
+        if (request.service.isEmpty()) {
+            requests.complete(caller, request.toCompletionText(), channel, isForwarded = true)
+        } else {
+            requests.callService(caller, request.toServiceText(), channel, isForwarded = true)
+        }
+    }
+
+    /** The sender has checked the API key; the plan is that of the lists which are in force here. */
+    private fun caller(id: ClientAccountId): Either<NotRun, Caller> {
+        val snapshot = lists.snapshot
+        val account = snapshot.account(id)
+        val plan = account?.let { snapshot.plan(it.plan) }
+            ?: return NotRun(RefusalReason.UNKNOWN_API_KEY, "account $id is not known").left()
+        return Caller(snapshot, account, plan).right()
+    }
+}
+
+private fun ForwardRequest.toCompletionText(): CompletionText = CompletionText(
+    body = body.toStringUtf8(),
+    key = requestKey.ifEmpty { null },
+    kind = kind.ifEmpty { null },
+    sessionToken = sessionToken.ifEmpty { null },
+)
+
+private fun ForwardRequest.toServiceText(): ServiceText = ServiceText(
+    service = service,
+    operation = operation,
+    body = body.toByteArray(),
+    contentType = contentType,
+    key = requestKey.ifEmpty { null },
+    ticket = ticket.ifEmpty { null },
+)
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/PeerBillWitness.kt
@@ -0,0 +1,87 @@
+package io.quetzalfield.entry
+
+import arrow.core.getOrElse
+import io.quetzalfield.decision.witnessOrder
+import io.quetzalfield.model.FailureDomainId
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.model.incarnation
+import io.quetzalfield.peer.PeerClients
+import io.quetzalfield.peer.wire.BillRecord
+import io.quetzalfield.peer.wire.ForgetRequest
+import io.quetzalfield.peer.wire.WitnessReply.Verdict
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Stores bills at other live entries, in the order that the home of the request gives.
+ *
+ * @param timeout time that one witness may take.
+ */
+internal class PeerBillWitness(
+    private val ownInstance: InstanceId,
+    private val ownDomain: FailureDomainId,
+    private val fleet: FleetView,
+    private val peers: PeerClients,
+    private val timeout: Duration = DEFAULT_TIMEOUT,
+) : BillWitness {
+    private val holders = ConcurrentHashMap<Incarnation, ConcurrentHashMap<Long, ListedInstance>>()
+
+    override fun store(bill: NumberedBill): WitnessOutcome {
+        val record = bill.toRecord()
+        val candidates = witnessOrder(bill.bill.scope, ownInstance, ownDomain, fleet.entries)
+        for (candidate in candidates.take(MAXIMUM_TRIES)) {
+            val outcome = storeAt(candidate, record)
+            if (outcome == WitnessOutcome.STORED) holdersOf(bill.incarnation)[bill.sequence] = candidate
+            if (outcome != WitnessOutcome.UNREACHABLE) return outcome
+        }
+        return WitnessOutcome.UNREACHABLE
+    }
+
+    private fun storeAt(candidate: ListedInstance, record: BillRecord): WitnessOutcome {
+        val address = candidate.peerAddress ?: return WitnessOutcome.UNREACHABLE
+        val reply = peers.call(address, timeout) { it.witnessBill(record) }
+            .getOrElse { return WitnessOutcome.UNREACHABLE }
+        return when (reply.verdict) {
+            Verdict.STORED -> WitnessOutcome.STORED
+            Verdict.ALREADY_BILLED -> WitnessOutcome.ALREADY_BILLED
+            Verdict.SEALED -> WitnessOutcome.SEALED
+            else -> WitnessOutcome.UNREACHABLE
+        }
+    }
+
+    override fun forget(incarnation: Incarnation, sequence: Long) {
+        val request = ForgetRequest.newBuilder()
+            .setIncarnation(incarnation.toString())
+            .setThroughSequence(sequence)
+            .build()
+        val kept = holdersOf(incarnation)
+        val addresses = kept.values.mapNotNull(ListedInstance::peerAddress).toSet()
+        for (address in addresses) peers.call(address, timeout) { it.forgetBills(request) }
+        kept.keys.removeIf { it <= sequence }
+    }
+
+    override fun isLost(incarnation: Incarnation, sequence: Long): Boolean {
+        val holder = holdersOf(incarnation)[sequence] ?: return false
+        return fleet.entries.none { it.incarnation == holder.incarnation }
+    }
+
+    private fun holdersOf(incarnation: Incarnation): ConcurrentHashMap<Long, ListedInstance> =
+        holders.computeIfAbsent(incarnation) { ConcurrentHashMap() }
+
+    private companion object {
+        const val MAXIMUM_TRIES = 3
+        val DEFAULT_TIMEOUT = 200.milliseconds
+    }
+}
+
+private fun NumberedBill.toRecord(): BillRecord = BillRecord.newBuilder()
+    .setIncarnation(incarnation.toString())
+    .setSequence(sequence)
+    .setClientAccount(bill.account.value)
+    .setRequestKey(bill.key.value)
+    .setTokens(bill.tokens)
+    .setPriceMicros(bill.priceMicros)
+    .build()
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ServiceClient.kt
@@ -0,0 +1,80 @@
+package io.quetzalfield.entry
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.quetzalfield.model.AttemptId
+import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.InterruptionReason
+import io.quetzalfield.model.MayHaveRun
+import io.quetzalfield.model.NotRun
+import io.quetzalfield.model.RefusalReason
+import io.quetzalfield.model.RequestFailure
+import io.quetzalfield.model.ServiceId
+import io.quetzalfield.platform.engine.REQUEST_ID_HEADER
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import java.io.IOException
+import java.net.ConnectException
+import java.util.UUID
+import java.util.concurrent.TimeUnit
+
+/** One call of an operation of a plain service. */
+public data class ServiceCall(
+    val account: ClientAccountId,
+    val service: ServiceId,
+    val operation: String,
+    val body: ByteArray,
+    val contentType: String,
+) {
+    /** A hash of all that makes this call differ from another. */
+    internal val fingerprint: String
+        get() = sha256("$service\n$operation\n$contentType\n${body.decodeToString()}")
+}
+
+/** What a service answered. */
+public class ServiceAnswer(public val status: Int, public val contentType: String, public val body: ByteArray)
+
+/** Sends a call to a plain service, exactly as often as it is told to. */
+public fun interface ServiceSender {
+    /** Sends [call] once. */
+    public fun send(call: ServiceCall): Either<RequestFailure, ServiceAnswer>
+}
+
+/** Sends calls to live instances over HTTP. Neither connection faults nor answers make it send a call again. */
+public class ServiceClient(private val fleet: FleetView, client: OkHttpClient) : ServiceSender {
+    private val client = client.newBuilder()
+        .retryOnConnectionFailure(false)
+        .followRedirects(false)
+        // The HTTP library sends a request again by itself when this header of a 503 is 0.
+        .addNetworkInterceptor { chain ->
+            chain.proceed(chain.request()).newBuilder().removeHeader("Retry-After").build()
+        }
+        .callTimeout(CALL_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        .build()
+
+    override fun send(call: ServiceCall): Either<RequestFailure, ServiceAnswer> {
+        val instance = fleet.serviceInstances(call.service).randomOrNull()
+            ?: return NotRun(RefusalReason.NO_RUNNER, "no instance of ${call.service} is live").left()
+        val request = Request.Builder()
+            .url("${instance.address}/operations/${call.operation}")
+            .header(REQUEST_ID_HEADER, AttemptId(UUID.randomUUID().toString()).value)
+            .post(call.body.toRequestBody(call.contentType.toMediaType()))
+            .build()
+        return try {
+            client.newCall(request).execute().use { response ->
+                ServiceAnswer(response.code, response.header("Content-Type").orEmpty(), response.body.bytes()).right()
+            }
+        } catch (error: ConnectException) {
+            NotRun(RefusalReason.NO_RUNNER, "${call.service} cannot be reached: ${error.message}").left()
+        } catch (error: IOException) {
+            MayHaveRun(InterruptionReason.CONNECTION_LOST, "${call.service}: ${error.message}").left()
+        }
+    }
+
+    private companion object {
+        const val CALL_TIMEOUT_SECONDS = 30L
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/BillLedgerTest.kt
@@ -0,0 +1,203 @@
+package io.quetzalfield.entry
+
+import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.RequestKey
+import io.quetzalfield.peer.wire.BillRecord
+import io.quetzalfield.peer.wire.WitnessReply.Verdict
+import io.quetzalfield.platform.bills.BillCell
+import io.quetzalfield.platform.bills.BillTotals
+import io.quetzalfield.platform.bills.CellState
+import io.quetzalfield.platform.bills.billCellKey
+import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.TestTimeSource
+
+private val ACCOUNT = ClientAccountId("workshop")
+
+private fun incarnation(instance: String) = Incarnation(InstanceId(instance), "1")
+
+private fun bill(key: String) = Bill(ACCOUNT, RequestKey(key), tokens = 10, priceMicros = 100)
+
+private fun record(sender: Incarnation, sequence: Long, key: String): BillRecord = BillRecord.newBuilder()
+    .setIncarnation(sender.toString())
+    .setSequence(sequence)
+    .setClientAccount(ACCOUNT.value)
+    .setRequestKey(key)
+    .setTokens(10)
+    .setPriceMicros(100)
+    .build()
+
+/** Witnesses in memory; [isReachable] says whether they answer. */
+private class FakeWitness(val bills: WitnessedBills = WitnessedBills()) : BillWitness {
+    var isReachable = true
+
+    override fun store(bill: NumberedBill): WitnessOutcome {
+        if (!isReachable) return WitnessOutcome.UNREACHABLE
+        return when (bills.store(record(bill.incarnation, bill.sequence, bill.bill.key.value))) {
+            Verdict.STORED -> WitnessOutcome.STORED
+            Verdict.ALREADY_BILLED -> WitnessOutcome.ALREADY_BILLED
+            Verdict.SEALED -> WitnessOutcome.SEALED
+            else -> WitnessOutcome.UNREACHABLE
+        }
+    }
+
+    override fun forget(incarnation: Incarnation, sequence: Long) = bills.forget(incarnation, sequence)
+
+    override fun isLost(incarnation: Incarnation, sequence: Long): Boolean = false
+}
+
+class BillLedgerTest {
+    private val store = InMemoryKeyValueStore()
+    private val witness = FakeWitness()
+    private val process = incarnation("entry-1")
+    private val ledger = BillLedger(process, store, witness)
+
+    private fun cell(incarnation: Incarnation = process): BillCell? =
+        store.read(billCellKey(incarnation)).getOrNull()?.let { BillCell.fromJson(it.value) }
+
+    private fun seal() {
+        val stored = checkNotNull(store.read(billCellKey(process)).getOrNull())
+        val sealed = BillCell.fromJson(stored.value).copy(state = CellState.SEALED)
+        store.compareAndSwap(stored.key, stored.modified, sealed.toJson())
+    }
+
+    @Nested
+    inner class Recording {
+        @Test
+        fun `a key is billed once and stored with the next flush`() {
+            assertEquals(listOf(true, false), List(2) { ledger.record(bill("key-1")) })
+            ledger.flush()
+            assertEquals(BillCell(1, mapOf(ACCOUNT to BillTotals(1, 10, 100))), cell())
+        }
+
+        @Test
+        fun `a key that another entry billed is not billed again`() {
+            witness.bills.store(record(incarnation("entry-2"), 1, "key-1"))
+            assertFalse(ledger.record(bill("key-1")))
+            ledger.flush()
+            assertEquals(BillCell(sequence = 1), cell())
+        }
+
+        @Test
+        fun `a bill without a witness still counts`() {
+            witness.isReachable = false
+            assertTrue(ledger.record(bill("key-1")))
+            assertEquals(1, ledger.totals(ACCOUNT).answers)
+        }
+    }
+
+    @Nested
+    inner class Store {
+        @Test
+        fun `lost answers and outages change no sum`() {
+            val faults: Map<String, () -> Unit> = mapOf(
+                "one lost answer" to { store.loseAnswers(1) },
+                "three lost answers" to { store.loseAnswers(3) },
+                "an outage" to { store.isDown = true },
+            )
+            var answers = 0L
+            for ((fault, begin) in faults) {
+                begin()
+                repeat(4) {
+                    ledger.record(bill("$fault-$it"))
+                    ledger.flush()
+                    answers++
+                }
+                store.isDown = false
+                repeat(2) { ledger.flush() }
+                assertEquals(answers, cell()?.totals?.get(ACCOUNT)?.answers, fault)
+            }
+        }
+
+        @Test
+        fun `an unchanged cell is not written again`() {
+            ledger.flush()
+            val calls = store.callCount
+            ledger.flush()
+            assertEquals(calls, store.callCount)
+        }
+    }
+
+    @Nested
+    inner class Seal {
+        @Test
+        fun `a sealed ledger goes on under a new incarnation and bills only what nobody kept`() {
+            ledger.record(bill("stored"))
+            ledger.flush()
+            ledger.record(bill("witnessed"))
+            witness.isReachable = false
+            ledger.record(bill("local"))
+            seal()
+            witness.bills.collect(process, 1)
+            witness.isReachable = true
+            repeat(3) { ledger.flush() }
+            assertEquals(1, cell()?.totals?.get(ACCOUNT)?.answers)
+            assertEquals(1, cell(ledger.incarnation)?.totals?.get(ACCOUNT)?.answers)
+            assertFalse(ledger.incarnation == process)
+        }
+
+        @Test
+        fun `a witness that knows of the seal makes the bill go under a new incarnation`() {
+            ledger.flush()
+            witness.bills.collect(process, 0)
+            assertTrue(ledger.record(bill("key-1")))
+            ledger.flush()
+            assertEquals(1, cell(ledger.incarnation)?.totals?.get(ACCOUNT)?.answers)
+            assertEquals(null, cell()?.totals?.get(ACCOUNT))
+        }
+    }
+}
+
+class WitnessedBillsTest {
+    private val time = TestTimeSource()
+    private val keys = BilledKeys(timeSource = time)
+    private val bills = WitnessedBills(keys, timeSource = time)
+    private val sender = incarnation("entry-1")
+    private val other = incarnation("entry-2")
+
+    @Test
+    fun `each record gets the verdict that its key and sender call for`() {
+        assertEquals(Verdict.STORED, bills.store(record(sender, 1, "key-1")))
+        assertEquals(Verdict.STORED, bills.store(record(sender, 1, "key-1")), "the same record again")
+        assertEquals(Verdict.ALREADY_BILLED, bills.store(record(other, 1, "key-1")), "another sender")
+        bills.forget(sender, 1)
+        assertEquals(Verdict.ALREADY_BILLED, bills.store(record(other, 2, "key-1")), "after it was stored")
+        bills.collect(sender, 0)
+        assertEquals(Verdict.SEALED, bills.store(record(sender, 2, "key-2")), "after the seal")
+    }
+
+    @Test
+    fun `collecting again returns the same records`() {
+        (1L..3L).forEach { bills.store(record(sender, it, "key-$it")) }
+        repeat(2) { assertEquals(listOf(2L, 3L), bills.collect(sender, 1).map(BillRecord::getSequence)) }
+    }
+
+    @Test
+    fun `records are dropped when nothing is heard of their incarnation`() {
+        bills.store(record(sender, 1, "key-1"))
+        time += 20.minutes
+        bills.forget(sender, 0)
+        time += 20.minutes
+        assertEquals(1, bills.collect(sender, 0).size)
+        time += 31.minutes
+        assertEquals(0, bills.collect(sender, 0).size)
+    }
+
+    @Test
+    fun `of two entries that bill a key at once exactly one keeps it`() {
+        val otherKeys = BilledKeys(timeSource = time)
+        val key = AccountKey(ACCOUNT, RequestKey("key-1"))
+        keys.begin(key, sender)
+        otherKeys.begin(key, other)
+        val isKeptBySender = otherKeys.witness(key, sender) && keys.finish(key, sender)
+        val isKeptByOther = keys.witness(key, other) && otherKeys.finish(key, other)
+        assertEquals(listOf(true, false), listOf(isKeptBySender, isKeptByOther))
+    }
+}
--- a/model/src/main/kotlin/io/quetzalfield/model/RequestFailure.kt
+++ b/model/src/main/kotlin/io/quetzalfield/model/RequestFailure.kt
@@ -40,6 +40,7 @@
     INVALID_TICKET("invalid_ticket", 400),
     VERSION_WITHDRAWN("version_withdrawn", 410),
     MISSING_IDEMPOTENCY_KEY("missing_idempotency_key", 400),
+    IDEMPOTENCY_KEY_REUSED("idempotency_key_reused", 422),
     ALLOWANCE_SPENT("allowance_spent", 429),
     OVERLOADED("overloaded", 429),
     DEADLINE_CANNOT_BE_MET("deadline_cannot_be_met", 429),
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/DemandReport.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/DemandReport.java
@@ -121,6 +121,21 @@
     return demands_.get(index);
   }
 
+  public static final int CONFIRMED_GENERATION_FIELD_NUMBER = 3;
+  private long confirmedGeneration_ = 0L;
+  /**
+   * <pre>
+   * The newest division that the sender holds to; zero for none.
+   * </pre>
+   *
+   * <code>int64 confirmed_generation = 3;</code>
+   * @return The confirmedGeneration.
+   */
+  @java.lang.Override
+  public long getConfirmedGeneration() {
+    return confirmedGeneration_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -141,6 +156,9 @@
     for (int i = 0; i < demands_.size(); i++) {
       output.writeMessage(2, demands_.get(i));
     }
+    if (confirmedGeneration_ != 0L) {
+      output.writeInt64(3, confirmedGeneration_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -157,6 +175,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, demands_.get(i));
     }
+    if (confirmedGeneration_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, confirmedGeneration_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -176,6 +198,8 @@
         .equals(other.getIncarnation())) return false;
     if (!getDemandsList()
         .equals(other.getDemandsList())) return false;
+    if (getConfirmedGeneration()
+        != other.getConfirmedGeneration()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -193,6 +217,9 @@
       hash = (37 * hash) + DEMANDS_FIELD_NUMBER;
       hash = (53 * hash) + getDemandsList().hashCode();
     }
+    hash = (37 * hash) + CONFIRMED_GENERATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfirmedGeneration());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -332,6 +359,7 @@
         demandsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      confirmedGeneration_ = 0L;
       return this;
     }
 
@@ -381,6 +409,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.incarnation_ = incarnation_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.confirmedGeneration_ = confirmedGeneration_;
+      }
     }
 
     @java.lang.Override
@@ -458,6 +489,9 @@
           }
         }
       }
+      if (other.getConfirmedGeneration() != 0L) {
+        setConfirmedGeneration(other.getConfirmedGeneration());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -502,6 +536,11 @@
               }
               break;
             } // case 18
+            case 24: {
+              confirmedGeneration_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -830,6 +869,50 @@
       }
       return demandsBuilder_;
     }
+
+    private long confirmedGeneration_ ;
+    /**
+     * <pre>
+     * The newest division that the sender holds to; zero for none.
+     * </pre>
+     *
+     * <code>int64 confirmed_generation = 3;</code>
+     * @return The confirmedGeneration.
+     */
+    @java.lang.Override
+    public long getConfirmedGeneration() {
+      return confirmedGeneration_;
+    }
+    /**
+     * <pre>
+     * The newest division that the sender holds to; zero for none.
+     * </pre>
+     *
+     * <code>int64 confirmed_generation = 3;</code>
+     * @param value The confirmedGeneration to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirmedGeneration(long value) {
+
+      confirmedGeneration_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest division that the sender holds to; zero for none.
+     * </pre>
+     *
+     * <code>int64 confirmed_generation = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirmedGeneration() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      confirmedGeneration_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/DemandReportOrBuilder.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/DemandReportOrBuilder.java
@@ -43,4 +43,14 @@
    */
   io.quetzalfield.peer.wire.AccountDemandOrBuilder getDemandsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The newest division that the sender holds to; zero for none.
+   * </pre>
+   *
+   * <code>int64 confirmed_generation = 3;</code>
+   * @return The confirmedGeneration.
+   */
+  long getConfirmedGeneration();
 }
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/ForwardRequest.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/ForwardRequest.java
@@ -25,6 +25,8 @@
     ticket_ = "";
     contentType_ = "";
     body_ = com.google.protobuf.ByteString.EMPTY;
+    kind_ = "";
+    service_ = "";
   }
 
   @java.lang.Override
@@ -342,6 +344,100 @@
     return callerKey_;
   }
 
+  public static final int KIND_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object kind_ = "";
+  /**
+   * <pre>
+   * The caller's name for the sort of request.
+   * </pre>
+   *
+   * <code>string kind = 10;</code>
+   * @return The kind.
+   */
+  @java.lang.Override
+  public java.lang.String getKind() {
+    java.lang.Object ref = kind_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      kind_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The caller's name for the sort of request.
+   * </pre>
+   *
+   * <code>string kind = 10;</code>
+   * @return The bytes for kind.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getKindBytes() {
+    java.lang.Object ref = kind_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      kind_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int SERVICE_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object service_ = "";
+  /**
+   * <pre>
+   * The plain service that an operation belongs to; empty for a completion.
+   * </pre>
+   *
+   * <code>string service = 11;</code>
+   * @return The service.
+   */
+  @java.lang.Override
+  public java.lang.String getService() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      service_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The plain service that an operation belongs to; empty for a completion.
+   * </pre>
+   *
+   * <code>string service = 11;</code>
+   * @return The bytes for service.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getServiceBytes() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      service_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -383,6 +479,12 @@
     if (callerKey_ != false) {
       output.writeBool(9, callerKey_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(kind_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 10, kind_);
+    }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(service_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 11, service_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -421,6 +523,12 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(9, callerKey_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(kind_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(10, kind_);
+    }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(service_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(11, service_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -454,6 +562,10 @@
         .equals(other.getBody())) return false;
     if (getCallerKey()
         != other.getCallerKey()) return false;
+    if (!getKind()
+        .equals(other.getKind())) return false;
+    if (!getService()
+        .equals(other.getService())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -484,6 +596,10 @@
     hash = (37 * hash) + CALLER_KEY_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getCallerKey());
+    hash = (37 * hash) + KIND_FIELD_NUMBER;
+    hash = (53 * hash) + getKind().hashCode();
+    hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+    hash = (53 * hash) + getService().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -624,6 +740,8 @@
       contentType_ = "";
       body_ = com.google.protobuf.ByteString.EMPTY;
       callerKey_ = false;
+      kind_ = "";
+      service_ = "";
       return this;
     }
 
@@ -684,6 +802,12 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.callerKey_ = callerKey_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.kind_ = kind_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.service_ = service_;
+      }
     }
 
     @java.lang.Override
@@ -771,6 +895,16 @@
       if (other.getCallerKey() != false) {
         setCallerKey(other.getCallerKey());
       }
+      if (!other.getKind().isEmpty()) {
+        kind_ = other.kind_;
+        bitField0_ |= 0x00000200;
+        onChanged();
+      }
+      if (!other.getService().isEmpty()) {
+        service_ = other.service_;
+        bitField0_ |= 0x00000400;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -842,6 +976,16 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 82: {
+              kind_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
+            case 90: {
+              service_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1426,6 +1570,190 @@
       onChanged();
       return this;
     }
+
+    private java.lang.Object kind_ = "";
+    /**
+     * <pre>
+     * The caller's name for the sort of request.
+     * </pre>
+     *
+     * <code>string kind = 10;</code>
+     * @return The kind.
+     */
+    public java.lang.String getKind() {
+      java.lang.Object ref = kind_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        kind_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The caller's name for the sort of request.
+     * </pre>
+     *
+     * <code>string kind = 10;</code>
+     * @return The bytes for kind.
+     */
+    public com.google.protobuf.ByteString
+        getKindBytes() {
+      java.lang.Object ref = kind_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        kind_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The caller's name for the sort of request.
+     * </pre>
+     *
+     * <code>string kind = 10;</code>
+     * @param value The kind to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKind(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      kind_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The caller's name for the sort of request.
+     * </pre>
+     *
+     * <code>string kind = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKind() {
+      kind_ = getDefaultInstance().getKind();
+      bitField0_ = (bitField0_ & ~0x00000200);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The caller's name for the sort of request.
+     * </pre>
+     *
+     * <code>string kind = 10;</code>
+     * @param value The bytes for kind to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKindBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      kind_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object service_ = "";
+    /**
+     * <pre>
+     * The plain service that an operation belongs to; empty for a completion.
+     * </pre>
+     *
+     * <code>string service = 11;</code>
+     * @return The service.
+     */
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The plain service that an operation belongs to; empty for a completion.
+     * </pre>
+     *
+     * <code>string service = 11;</code>
+     * @return The bytes for service.
+     */
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The plain service that an operation belongs to; empty for a completion.
+     * </pre>
+     *
+     * <code>string service = 11;</code>
+     * @param value The service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setService(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      service_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The plain service that an operation belongs to; empty for a completion.
+     * </pre>
+     *
+     * <code>string service = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearService() {
+      service_ = getDefaultInstance().getService();
+      bitField0_ = (bitField0_ & ~0x00000400);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The plain service that an operation belongs to; empty for a completion.
+     * </pre>
+     *
+     * <code>string service = 11;</code>
+     * @param value The bytes for service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      service_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/ForwardRequestOrBuilder.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/ForwardRequestOrBuilder.java
@@ -103,4 +103,44 @@
    * @return The callerKey.
    */
   boolean getCallerKey();
+
+  /**
+   * <pre>
+   * The caller's name for the sort of request.
+   * </pre>
+   *
+   * <code>string kind = 10;</code>
+   * @return The kind.
+   */
+  java.lang.String getKind();
+  /**
+   * <pre>
+   * The caller's name for the sort of request.
+   * </pre>
+   *
+   * <code>string kind = 10;</code>
+   * @return The bytes for kind.
+   */
+  com.google.protobuf.ByteString
+      getKindBytes();
+
+  /**
+   * <pre>
+   * The plain service that an operation belongs to; empty for a completion.
+   * </pre>
+   *
+   * <code>string service = 11;</code>
+   * @return The service.
+   */
+  java.lang.String getService();
+  /**
+   * <pre>
+   * The plain service that an operation belongs to; empty for a completion.
+   * </pre>
+   *
+   * <code>string service = 11;</code>
+   * @return The bytes for service.
+   */
+  com.google.protobuf.ByteString
+      getServiceBytes();
 }
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/PeerGrpc.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/PeerGrpc.java
@@ -170,6 +170,37 @@
     return getCollectBillsMethod;
   }
 
+  private static volatile io.grpc.MethodDescriptor<io.quetzalfield.peer.wire.WitnessedRequest,
+      io.quetzalfield.peer.wire.WitnessedReply> getListWitnessedMethod;
+
+  @io.grpc.stub.annotations.RpcMethod(
+      fullMethodName = SERVICE_NAME + '/' + "ListWitnessed",
+      requestType = io.quetzalfield.peer.wire.WitnessedRequest.class,
+      responseType = io.quetzalfield.peer.wire.WitnessedReply.class,
+      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+  public static io.grpc.MethodDescriptor<io.quetzalfield.peer.wire.WitnessedRequest,
+      io.quetzalfield.peer.wire.WitnessedReply> getListWitnessedMethod() {
+    io.grpc.MethodDescriptor<io.quetzalfield.peer.wire.WitnessedRequest, io.quetzalfield.peer.wire.WitnessedReply> getListWitnessedMethod;
+    if ((getListWitnessedMethod = PeerGrpc.getListWitnessedMethod) == null) {
+      synchronized (PeerGrpc.class) {
+        if ((getListWitnessedMethod = PeerGrpc.getListWitnessedMethod) == null) {
+          PeerGrpc.getListWitnessedMethod = getListWitnessedMethod =
+              io.grpc.MethodDescriptor.<io.quetzalfield.peer.wire.WitnessedRequest, io.quetzalfield.peer.wire.WitnessedReply>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "ListWitnessed"))
+              .setSampledToLocalTracing(true)
+              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  io.quetzalfield.peer.wire.WitnessedRequest.getDefaultInstance()))
+              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  io.quetzalfield.peer.wire.WitnessedReply.getDefaultInstance()))
+              .setSchemaDescriptor(new PeerMethodDescriptorSupplier("ListWitnessed"))
+              .build();
+        }
+      }
+    }
+    return getListWitnessedMethod;
+  }
+
   private static volatile io.grpc.MethodDescriptor<io.quetzalfield.peer.wire.ForwardRequest,
       io.quetzalfield.peer.wire.ForwardReply> getForwardMethod;
 
@@ -441,6 +472,16 @@
       io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getCollectBillsMethod(), responseObserver);
     }
 
+    /**
+     * <pre>
+     * Names the incarnations whose bills the callee keeps as a witness.
+     * </pre>
+     */
+    default void listWitnessed(io.quetzalfield.peer.wire.WitnessedRequest request,
+        io.grpc.stub.StreamObserver<io.quetzalfield.peer.wire.WitnessedReply> responseObserver) {
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getListWitnessedMethod(), responseObserver);
+    }
+
     /**
      * <pre>
      * Runs a request at the home of its key; the bytes of the answer stream back.
@@ -580,6 +621,17 @@
           getChannel().newCall(getCollectBillsMethod(), getCallOptions()), request, responseObserver);
     }
 
+    /**
+     * <pre>
+     * Names the incarnations whose bills the callee keeps as a witness.
+     * </pre>
+     */
+    public void listWitnessed(io.quetzalfield.peer.wire.WitnessedRequest request,
+        io.grpc.stub.StreamObserver<io.quetzalfield.peer.wire.WitnessedReply> responseObserver) {
+      io.grpc.stub.ClientCalls.asyncUnaryCall(
+          getChannel().newCall(getListWitnessedMethod(), getCallOptions()), request, responseObserver);
+    }
+
     /**
      * <pre>
      * Runs a request at the home of its key; the bytes of the answer stream back.
@@ -705,6 +757,16 @@
           getChannel(), getCollectBillsMethod(), getCallOptions(), request);
     }
 
+    /**
+     * <pre>
+     * Names the incarnations whose bills the callee keeps as a witness.
+     * </pre>
+     */
+    public io.quetzalfield.peer.wire.WitnessedReply listWitnessed(io.quetzalfield.peer.wire.WitnessedRequest request) throws io.grpc.StatusException {
+      return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
+          getChannel(), getListWitnessedMethod(), getCallOptions(), request);
+    }
+
     /**
      * <pre>
      * Runs a request at the home of its key; the bytes of the answer stream back.
@@ -827,6 +889,16 @@
           getChannel(), getCollectBillsMethod(), getCallOptions(), request);
     }
 
+    /**
+     * <pre>
+     * Names the incarnations whose bills the callee keeps as a witness.
+     * </pre>
+     */
+    public io.quetzalfield.peer.wire.WitnessedReply listWitnessed(io.quetzalfield.peer.wire.WitnessedRequest request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getListWitnessedMethod(), getCallOptions(), request);
+    }
+
     /**
      * <pre>
      * Runs a request at the home of its key; the bytes of the answer stream back.
@@ -953,6 +1025,17 @@
           getChannel().newCall(getCollectBillsMethod(), getCallOptions()), request);
     }
 
+    /**
+     * <pre>
+     * Names the incarnations whose bills the callee keeps as a witness.
+     * </pre>
+     */
+    public com.google.common.util.concurrent.ListenableFuture<io.quetzalfield.peer.wire.WitnessedReply> listWitnessed(
+        io.quetzalfield.peer.wire.WitnessedRequest request) {
+      return io.grpc.stub.ClientCalls.futureUnaryCall(
+          getChannel().newCall(getListWitnessedMethod(), getCallOptions()), request);
+    }
+
     /**
      * <pre>
      * Exchanges suspect and quarantined fingerprints.
@@ -1003,11 +1086,12 @@
   private static final int METHODID_WITNESS_BILL = 2;
   private static final int METHODID_FORGET_BILLS = 3;
   private static final int METHODID_COLLECT_BILLS = 4;
-  private static final int METHODID_FORWARD = 5;
-  private static final int METHODID_EXCHANGE_FINGERPRINTS = 6;
-  private static final int METHODID_REPORT_DEMAND = 7;
-  private static final int METHODID_STOP_VERSION = 8;
-  private static final int METHODID_READ_OBSERVATIONS = 9;
+  private static final int METHODID_LIST_WITNESSED = 5;
+  private static final int METHODID_FORWARD = 6;
+  private static final int METHODID_EXCHANGE_FINGERPRINTS = 7;
+  private static final int METHODID_REPORT_DEMAND = 8;
+  private static final int METHODID_STOP_VERSION = 9;
+  private static final int METHODID_READ_OBSERVATIONS = 10;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -1046,6 +1130,10 @@
           serviceImpl.collectBills((io.quetzalfield.peer.wire.CollectRequest) request,
               (io.grpc.stub.StreamObserver<io.quetzalfield.peer.wire.CollectReply>) responseObserver);
           break;
+        case METHODID_LIST_WITNESSED:
+          serviceImpl.listWitnessed((io.quetzalfield.peer.wire.WitnessedRequest) request,
+              (io.grpc.stub.StreamObserver<io.quetzalfield.peer.wire.WitnessedReply>) responseObserver);
+          break;
         case METHODID_FORWARD:
           serviceImpl.forward((io.quetzalfield.peer.wire.ForwardRequest) request,
               (io.grpc.stub.StreamObserver<io.quetzalfield.peer.wire.ForwardReply>) responseObserver);
@@ -1119,6 +1207,13 @@
               io.quetzalfield.peer.wire.CollectRequest,
               io.quetzalfield.peer.wire.CollectReply>(
                 service, METHODID_COLLECT_BILLS)))
+        .addMethod(
+          getListWitnessedMethod(),
+          io.grpc.stub.ServerCalls.asyncUnaryCall(
+            new MethodHandlers<
+              io.quetzalfield.peer.wire.WitnessedRequest,
+              io.quetzalfield.peer.wire.WitnessedReply>(
+                service, METHODID_LIST_WITNESSED)))
         .addMethod(
           getForwardMethod(),
           io.grpc.stub.ServerCalls.asyncServerStreamingCall(
@@ -1207,6 +1302,7 @@
               .addMethod(getWitnessBillMethod())
               .addMethod(getForgetBillsMethod())
               .addMethod(getCollectBillsMethod())
+              .addMethod(getListWitnessedMethod())
               .addMethod(getForwardMethod())
               .addMethod(getExchangeFingerprintsMethod())
               .addMethod(getReportDemandMethod())
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/PeerOuterClass.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/PeerOuterClass.java
@@ -60,6 +60,21 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_quetzalfield_peer_CollectReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_quetzalfield_peer_WitnessedRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_quetzalfield_peer_WitnessedRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_quetzalfield_peer_WitnessedIncarnation_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_quetzalfield_peer_WitnessedIncarnation_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_quetzalfield_peer_WitnessedReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_quetzalfield_peer_WitnessedReply_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_quetzalfield_peer_ForwardRequest_descriptor;
   static final 
@@ -155,60 +170,69 @@
       "quence\030\002 \001(\003\"\r\n\013ForgetReply\"=\n\016CollectRe" +
       "quest\022\023\n\013incarnation\030\001 \001(\t\022\026\n\016after_sequ" +
       "ence\030\002 \001(\003\">\n\014CollectReply\022.\n\007records\030\001 " +
-      "\003(\0132\035.quetzalfield.peer.BillRecord\"\277\001\n\016F" +
-      "orwardRequest\022\016\n\006sender\030\001 \001(\t\022\026\n\016client_" +
-      "account\030\002 \001(\t\022\021\n\toperation\030\003 \001(\t\022\023\n\013requ" +
-      "est_key\030\004 \001(\t\022\025\n\rsession_token\030\005 \001(\t\022\016\n\006" +
-      "ticket\030\006 \001(\t\022\024\n\014content_type\030\007 \001(\t\022\014\n\004bo" +
-      "dy\030\010 \001(\014\022\022\n\ncaller_key\030\t \001(\010\"\233\001\n\014Forward" +
-      "Reply\022\016\n\006status\030\001 \001(\005\022=\n\007headers\030\002 \003(\0132," +
-      ".quetzalfield.peer.ForwardReply.HeadersE" +
-      "ntry\022\014\n\004body\030\003 \001(\014\032.\n\014HeadersEntry\022\013\n\003ke" +
-      "y\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"M\n\013Fingerprin" +
-      "t\022\023\n\013fingerprint\030\001 \001(\t\022\017\n\007crashes\030\002 \001(\005\022" +
-      "\030\n\020age_milliseconds\030\003 \001(\003\"W\n\017Fingerprint" +
-      "List\022\016\n\006sender\030\001 \001(\t\0224\n\014fingerprints\030\002 \003" +
-      "(\0132\036.quetzalfield.peer.Fingerprint\"B\n\rAc" +
-      "countDemand\022\026\n\016client_account\030\001 \001(\t\022\031\n\021t" +
-      "okens_per_minute\030\002 \001(\001\"V\n\014DemandReport\022\023" +
-      "\n\013incarnation\030\001 \001(\t\0221\n\007demands\030\002 \003(\0132 .q" +
-      "uetzalfield.peer.AccountDemand\"A\n\014Accoun" +
-      "tShare\022\026\n\016client_account\030\001 \001(\t\022\031\n\021tokens" +
-      "_per_minute\030\002 \001(\001\"t\n\nShareReply\022\026\n\016fenci" +
-      "ng_number\030\001 \001(\003\022\035\n\025validity_milliseconds" +
-      "\030\002 \001(\003\022/\n\006shares\030\003 \003(\0132\037.quetzalfield.pe" +
-      "er.AccountShare\"U\n\013VersionStop\022\r\n\005model\030" +
-      "\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\016\n\006reason\030\003 \001(\t\022\026" +
-      "\n\016lists_revision\030\004 \001(\003\"\022\n\020VersionStopRep" +
-      "ly\"\025\n\023ObservationsRequest\"\203\001\n\023VersionObs" +
-      "ervations\022\r\n\005model\030\001 \001(\t\022\017\n\007version\030\002 \001(" +
-      "\t\022\017\n\007answers\030\003 \001(\003\022\r\n\005rated\030\004 \001(\003\022\016\n\006pas" +
-      "sed\030\005 \001(\003\022\016\n\006errors\030\006 \001(\003\022\014\n\004slow\030\007 \001(\003\"" +
-      "b\n\021ObservationsReply\022\023\n\013incarnation\030\001 \001(" +
-      "\t\0228\n\010versions\030\002 \003(\0132&.quetzalfield.peer." +
-      "VersionObservations2\312\006\n\004Peer\022M\n\rExchange" +
-      "Lists\022\035.quetzalfield.peer.ListsOffer\032\035.q" +
-      "uetzalfield.peer.ListsReply\022H\n\tPushLists" +
-      "\022\034.quetzalfield.peer.ListsPush\032\035.quetzal" +
-      "field.peer.ListsReply\022M\n\013WitnessBill\022\035.q" +
-      "uetzalfield.peer.BillRecord\032\037.quetzalfie" +
-      "ld.peer.WitnessReply\022O\n\013ForgetBills\022 .qu" +
-      "etzalfield.peer.ForgetRequest\032\036.quetzalf" +
-      "ield.peer.ForgetReply\022R\n\014CollectBills\022!." +
-      "quetzalfield.peer.CollectRequest\032\037.quetz" +
-      "alfield.peer.CollectReply\022O\n\007Forward\022!.q" +
-      "uetzalfield.peer.ForwardRequest\032\037.quetza" +
-      "lfield.peer.ForwardReply0\001\022^\n\024ExchangeFi" +
-      "ngerprints\022\".quetzalfield.peer.Fingerpri" +
-      "ntList\032\".quetzalfield.peer.FingerprintLi" +
-      "st\022N\n\014ReportDemand\022\037.quetzalfield.peer.D" +
-      "emandReport\032\035.quetzalfield.peer.ShareRep" +
-      "ly\022R\n\013StopVersion\022\036.quetzalfield.peer.Ve" +
-      "rsionStop\032#.quetzalfield.peer.VersionSto" +
-      "pReply\022`\n\020ReadObservations\022&.quetzalfiel" +
-      "d.peer.ObservationsRequest\032$.quetzalfiel" +
-      "d.peer.ObservationsReplyB\035\n\031io.quetzalfi" +
-      "eld.peer.wireP\001b\006proto3"
+      "\003(\0132\035.quetzalfield.peer.BillRecord\"\022\n\020Wi" +
+      "tnessedRequest\"X\n\024WitnessedIncarnation\022\023" +
+      "\n\013incarnation\030\001 \001(\t\022\r\n\005bills\030\002 \001(\005\022\034\n\024si" +
+      "lence_milliseconds\030\003 \001(\003\"O\n\016WitnessedRep" +
+      "ly\022=\n\014incarnations\030\001 \003(\0132\'.quetzalfield." +
+      "peer.WitnessedIncarnation\"\336\001\n\016ForwardReq" +
+      "uest\022\016\n\006sender\030\001 \001(\t\022\026\n\016client_account\030\002" +
+      " \001(\t\022\021\n\toperation\030\003 \001(\t\022\023\n\013request_key\030\004" +
+      " \001(\t\022\025\n\rsession_token\030\005 \001(\t\022\016\n\006ticket\030\006 " +
+      "\001(\t\022\024\n\014content_type\030\007 \001(\t\022\014\n\004body\030\010 \001(\014\022" +
+      "\022\n\ncaller_key\030\t \001(\010\022\014\n\004kind\030\n \001(\t\022\017\n\007ser" +
+      "vice\030\013 \001(\t\"\233\001\n\014ForwardReply\022\016\n\006status\030\001 " +
+      "\001(\005\022=\n\007headers\030\002 \003(\0132,.quetzalfield.peer" +
+      ".ForwardReply.HeadersEntry\022\014\n\004body\030\003 \001(\014" +
+      "\032.\n\014HeadersEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002" +
+      " \001(\t:\0028\001\"M\n\013Fingerprint\022\023\n\013fingerprint\030\001" +
+      " \001(\t\022\017\n\007crashes\030\002 \001(\005\022\030\n\020age_millisecond" +
+      "s\030\003 \001(\003\"W\n\017FingerprintList\022\016\n\006sender\030\001 \001" +
+      "(\t\0224\n\014fingerprints\030\002 \003(\0132\036.quetzalfield." +
+      "peer.Fingerprint\"B\n\rAccountDemand\022\026\n\016cli" +
+      "ent_account\030\001 \001(\t\022\031\n\021tokens_per_minute\030\002" +
+      " \001(\001\"t\n\014DemandReport\022\023\n\013incarnation\030\001 \001(" +
+      "\t\0221\n\007demands\030\002 \003(\0132 .quetzalfield.peer.A" +
+      "ccountDemand\022\034\n\024confirmed_generation\030\003 \001" +
+      "(\003\"A\n\014AccountShare\022\026\n\016client_account\030\001 \001" +
+      "(\t\022\031\n\021tokens_per_minute\030\002 \001(\001\"\210\001\n\nShareR" +
+      "eply\022\026\n\016fencing_number\030\001 \001(\003\022\035\n\025validity" +
+      "_milliseconds\030\002 \001(\003\022/\n\006shares\030\003 \003(\0132\037.qu" +
+      "etzalfield.peer.AccountShare\022\022\n\ngenerati" +
+      "on\030\004 \001(\003\"U\n\013VersionStop\022\r\n\005model\030\001 \001(\t\022\017" +
+      "\n\007version\030\002 \001(\t\022\016\n\006reason\030\003 \001(\t\022\026\n\016lists" +
+      "_revision\030\004 \001(\003\"\022\n\020VersionStopReply\"\025\n\023O" +
+      "bservationsRequest\"\203\001\n\023VersionObservatio" +
+      "ns\022\r\n\005model\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\017\n\007an" +
+      "swers\030\003 \001(\003\022\r\n\005rated\030\004 \001(\003\022\016\n\006passed\030\005 \001" +
+      "(\003\022\016\n\006errors\030\006 \001(\003\022\014\n\004slow\030\007 \001(\003\"b\n\021Obse" +
+      "rvationsReply\022\023\n\013incarnation\030\001 \001(\t\0228\n\010ve" +
+      "rsions\030\002 \003(\0132&.quetzalfield.peer.Version" +
+      "Observations2\243\007\n\004Peer\022M\n\rExchangeLists\022\035" +
+      ".quetzalfield.peer.ListsOffer\032\035.quetzalf" +
+      "ield.peer.ListsReply\022H\n\tPushLists\022\034.quet" +
+      "zalfield.peer.ListsPush\032\035.quetzalfield.p" +
+      "eer.ListsReply\022M\n\013WitnessBill\022\035.quetzalf" +
+      "ield.peer.BillRecord\032\037.quetzalfield.peer" +
+      ".WitnessReply\022O\n\013ForgetBills\022 .quetzalfi" +
+      "eld.peer.ForgetRequest\032\036.quetzalfield.pe" +
+      "er.ForgetReply\022R\n\014CollectBills\022!.quetzal" +
+      "field.peer.CollectRequest\032\037.quetzalfield" +
+      ".peer.CollectReply\022W\n\rListWitnessed\022#.qu" +
+      "etzalfield.peer.WitnessedRequest\032!.quetz" +
+      "alfield.peer.WitnessedReply\022O\n\007Forward\022!" +
+      ".quetzalfield.peer.ForwardRequest\032\037.quet" +
+      "zalfield.peer.ForwardReply0\001\022^\n\024Exchange" +
+      "Fingerprints\022\".quetzalfield.peer.Fingerp" +
+      "rintList\032\".quetzalfield.peer.Fingerprint" +
+      "List\022N\n\014ReportDemand\022\037.quetzalfield.peer" +
+      ".DemandReport\032\035.quetzalfield.peer.ShareR" +
+      "eply\022R\n\013StopVersion\022\036.quetzalfield.peer." +
+      "VersionStop\032#.quetzalfield.peer.VersionS" +
+      "topReply\022`\n\020ReadObservations\022&.quetzalfi" +
+      "eld.peer.ObservationsRequest\032$.quetzalfi" +
+      "eld.peer.ObservationsReplyB\035\n\031io.quetzal" +
+      "field.peer.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -268,14 +292,32 @@
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_CollectReply_descriptor,
         new java.lang.String[] { "Records", });
-    internal_static_quetzalfield_peer_ForwardRequest_descriptor =
+    internal_static_quetzalfield_peer_WitnessedRequest_descriptor =
       getDescriptor().getMessageTypes().get(9);
+    internal_static_quetzalfield_peer_WitnessedRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_quetzalfield_peer_WitnessedRequest_descriptor,
+        new java.lang.String[] { });
+    internal_static_quetzalfield_peer_WitnessedIncarnation_descriptor =
+      getDescriptor().getMessageTypes().get(10);
+    internal_static_quetzalfield_peer_WitnessedIncarnation_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_quetzalfield_peer_WitnessedIncarnation_descriptor,
+        new java.lang.String[] { "Incarnation", "Bills", "SilenceMilliseconds", });
+    internal_static_quetzalfield_peer_WitnessedReply_descriptor =
+      getDescriptor().getMessageTypes().get(11);
+    internal_static_quetzalfield_peer_WitnessedReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_quetzalfield_peer_WitnessedReply_descriptor,
+        new java.lang.String[] { "Incarnations", });
+    internal_static_quetzalfield_peer_ForwardRequest_descriptor =
+      getDescriptor().getMessageTypes().get(12);
     internal_static_quetzalfield_peer_ForwardRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_ForwardRequest_descriptor,
-        new java.lang.String[] { "Sender", "ClientAccount", "Operation", "RequestKey", "SessionToken", "Ticket", "ContentType", "Body", "CallerKey", });
+        new java.lang.String[] { "Sender", "ClientAccount", "Operation", "RequestKey", "SessionToken", "Ticket", "ContentType", "Body", "CallerKey", "Kind", "Service", });
     internal_static_quetzalfield_peer_ForwardReply_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_quetzalfield_peer_ForwardReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_ForwardReply_descriptor,
@@ -287,67 +329,67 @@
         internal_static_quetzalfield_peer_ForwardReply_HeadersEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
     internal_static_quetzalfield_peer_Fingerprint_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_quetzalfield_peer_Fingerprint_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_Fingerprint_descriptor,
         new java.lang.String[] { "Fingerprint", "Crashes", "AgeMilliseconds", });
     internal_static_quetzalfield_peer_FingerprintList_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_quetzalfield_peer_FingerprintList_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_FingerprintList_descriptor,
         new java.lang.String[] { "Sender", "Fingerprints", });
     internal_static_quetzalfield_peer_AccountDemand_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_quetzalfield_peer_AccountDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_AccountDemand_descriptor,
         new java.lang.String[] { "ClientAccount", "TokensPerMinute", });
     internal_static_quetzalfield_peer_DemandReport_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(17);
     internal_static_quetzalfield_peer_DemandReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_DemandReport_descriptor,
-        new java.lang.String[] { "Incarnation", "Demands", });
+        new java.lang.String[] { "Incarnation", "Demands", "ConfirmedGeneration", });
     internal_static_quetzalfield_peer_AccountShare_descriptor =
-      getDescriptor().getMessageTypes().get(15);
+      getDescriptor().getMessageTypes().get(18);
     internal_static_quetzalfield_peer_AccountShare_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_AccountShare_descriptor,
         new java.lang.String[] { "ClientAccount", "TokensPerMinute", });
     internal_static_quetzalfield_peer_ShareReply_descriptor =
-      getDescriptor().getMessageTypes().get(16);
+      getDescriptor().getMessageTypes().get(19);
     internal_static_quetzalfield_peer_ShareReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_ShareReply_descriptor,
-        new java.lang.String[] { "FencingNumber", "ValidityMilliseconds", "Shares", });
+        new java.lang.String[] { "FencingNumber", "ValidityMilliseconds", "Shares", "Generation", });
     internal_static_quetzalfield_peer_VersionStop_descriptor =
-      getDescriptor().getMessageTypes().get(17);
+      getDescriptor().getMessageTypes().get(20);
     internal_static_quetzalfield_peer_VersionStop_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_VersionStop_descriptor,
         new java.lang.String[] { "Model", "Version", "Reason", "ListsRevision", });
     internal_static_quetzalfield_peer_VersionStopReply_descriptor =
-      getDescriptor().getMessageTypes().get(18);
+      getDescriptor().getMessageTypes().get(21);
     internal_static_quetzalfield_peer_VersionStopReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_VersionStopReply_descriptor,
         new java.lang.String[] { });
     internal_static_quetzalfield_peer_ObservationsRequest_descriptor =
-      getDescriptor().getMessageTypes().get(19);
+      getDescriptor().getMessageTypes().get(22);
     internal_static_quetzalfield_peer_ObservationsRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_ObservationsRequest_descriptor,
         new java.lang.String[] { });
     internal_static_quetzalfield_peer_VersionObservations_descriptor =
-      getDescriptor().getMessageTypes().get(20);
+      getDescriptor().getMessageTypes().get(23);
     internal_static_quetzalfield_peer_VersionObservations_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_VersionObservations_descriptor,
         new java.lang.String[] { "Model", "Version", "Answers", "Rated", "Passed", "Errors", "Slow", });
     internal_static_quetzalfield_peer_ObservationsReply_descriptor =
-      getDescriptor().getMessageTypes().get(21);
+      getDescriptor().getMessageTypes().get(24);
     internal_static_quetzalfield_peer_ObservationsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_ObservationsReply_descriptor,
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/ShareReply.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/ShareReply.java
@@ -54,6 +54,10 @@
   public static final int VALIDITY_MILLISECONDS_FIELD_NUMBER = 2;
   private long validityMilliseconds_ = 0L;
   /**
+   * <pre>
+   * Time, from when the report was sent, for which the shares may be used.
+   * </pre>
+   *
    * <code>int64 validity_milliseconds = 2;</code>
    * @return The validityMilliseconds.
    */
@@ -103,6 +107,21 @@
     return shares_.get(index);
   }
 
+  public static final int GENERATION_FIELD_NUMBER = 4;
+  private long generation_ = 0L;
+  /**
+   * <pre>
+   * Grows with each division; zero when the callee does not hold the duty.
+   * </pre>
+   *
+   * <code>int64 generation = 4;</code>
+   * @return The generation.
+   */
+  @java.lang.Override
+  public long getGeneration() {
+    return generation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -126,6 +145,9 @@
     for (int i = 0; i < shares_.size(); i++) {
       output.writeMessage(3, shares_.get(i));
     }
+    if (generation_ != 0L) {
+      output.writeInt64(4, generation_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -147,6 +169,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, shares_.get(i));
     }
+    if (generation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, generation_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -168,6 +194,8 @@
         != other.getValidityMilliseconds()) return false;
     if (!getSharesList()
         .equals(other.getSharesList())) return false;
+    if (getGeneration()
+        != other.getGeneration()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -189,6 +217,9 @@
       hash = (37 * hash) + SHARES_FIELD_NUMBER;
       hash = (53 * hash) + getSharesList().hashCode();
     }
+    hash = (37 * hash) + GENERATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getGeneration());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -329,6 +360,7 @@
         sharesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      generation_ = 0L;
       return this;
     }
 
@@ -381,6 +413,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.validityMilliseconds_ = validityMilliseconds_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.generation_ = generation_;
+      }
     }
 
     @java.lang.Override
@@ -459,6 +494,9 @@
           }
         }
       }
+      if (other.getGeneration() != 0L) {
+        setGeneration(other.getGeneration());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -508,6 +546,11 @@
               }
               break;
             } // case 26
+            case 32: {
+              generation_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -559,6 +602,10 @@
 
     private long validityMilliseconds_ ;
     /**
+     * <pre>
+     * Time, from when the report was sent, for which the shares may be used.
+     * </pre>
+     *
      * <code>int64 validity_milliseconds = 2;</code>
      * @return The validityMilliseconds.
      */
@@ -567,6 +614,10 @@
       return validityMilliseconds_;
     }
     /**
+     * <pre>
+     * Time, from when the report was sent, for which the shares may be used.
+     * </pre>
+     *
      * <code>int64 validity_milliseconds = 2;</code>
      * @param value The validityMilliseconds to set.
      * @return This builder for chaining.
@@ -579,6 +630,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Time, from when the report was sent, for which the shares may be used.
+     * </pre>
+     *
      * <code>int64 validity_milliseconds = 2;</code>
      * @return This builder for chaining.
      */
@@ -828,6 +883,50 @@
       }
       return sharesBuilder_;
     }
+
+    private long generation_ ;
+    /**
+     * <pre>
+     * Grows with each division; zero when the callee does not hold the duty.
+     * </pre>
+     *
+     * <code>int64 generation = 4;</code>
+     * @return The generation.
+     */
+    @java.lang.Override
+    public long getGeneration() {
+      return generation_;
+    }
+    /**
+     * <pre>
+     * Grows with each division; zero when the callee does not hold the duty.
+     * </pre>
+     *
+     * <code>int64 generation = 4;</code>
+     * @param value The generation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGeneration(long value) {
+
+      generation_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Grows with each division; zero when the callee does not hold the duty.
+     * </pre>
+     *
+     * <code>int64 generation = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGeneration() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      generation_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/ShareReplyOrBuilder.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/ShareReplyOrBuilder.java
@@ -15,6 +15,10 @@
   long getFencingNumber();
 
   /**
+   * <pre>
+   * Time, from when the report was sent, for which the shares may be used.
+   * </pre>
+   *
    * <code>int64 validity_milliseconds = 2;</code>
    * @return The validityMilliseconds.
    */
@@ -43,4 +47,14 @@
    */
   io.quetzalfield.peer.wire.AccountShareOrBuilder getSharesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Grows with each division; zero when the callee does not hold the duty.
+   * </pre>
+   *
+   * <code>int64 generation = 4;</code>
+   * @return The generation.
+   */
+  long getGeneration();
 }
--- a/peer/src/main/kotlin/io/quetzalfield/peer/PeerClients.kt
+++ b/peer/src/main/kotlin/io/quetzalfield/peer/PeerClients.kt
@@ -7,11 +7,16 @@
 import io.grpc.Status
 import io.grpc.StatusRuntimeException
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder
+import io.grpc.netty.shaded.io.netty.channel.ChannelOption
 import io.quetzalfield.peer.wire.PeerGrpc
+import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
+/** Time between two signs of life on a connection with a running call; a server permits them this often. */
+internal const val KEEP_ALIVE_SECONDS: Long = 10
+
 /** Why a call to a peer gave no answer. */
 public sealed interface PeerError {
     public val message: String
@@ -45,8 +50,13 @@
         PeerGrpc.newBlockingStub(channels.computeIfAbsent(address, ::openChannel))
             .withDeadlineAfter(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
 
-    private fun openChannel(address: String): ManagedChannel =
-        NettyChannelBuilder.forTarget("dns:///$address").usePlaintext().disableRetry().build()
+    private fun openChannel(address: String): ManagedChannel = NettyChannelBuilder.forTarget("dns:///$address")
+        .usePlaintext()
+        .disableRetry()
+        .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+        .keepAliveTime(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
+        .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        .build()
 
     /** Closes channels to addresses that are not in [addresses]. */
     public fun retain(addresses: Set<String>) {
@@ -57,10 +67,22 @@
         channels.values.forEach(ManagedChannel::shutdownNow)
         channels.clear()
     }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MILLISECONDS = 1_000
+        const val KEEP_ALIVE_TIMEOUT_SECONDS = 2L
+    }
 }
 
 private fun StatusRuntimeException.toPeerError(): PeerError = when (status.code) {
-    Status.Code.UNAVAILABLE -> PeerError.Unreachable("$status")
+    Status.Code.UNAVAILABLE ->
+        if (isConnectFailure) PeerError.Unreachable("$status") else PeerError.OutcomeUnknown("$status")
+
     Status.Code.DEADLINE_EXCEEDED, Status.Code.CANCELLED -> PeerError.OutcomeUnknown("$status")
+
     else -> PeerError.Rejected("$status")
 }
+
+/** Whether no connection came about, so that the peer has seen nothing of the call. */
+private val StatusRuntimeException.isConnectFailure: Boolean
+    get() = generateSequence(status.cause) { it.cause }.any { it is ConnectException }
--- a/peer/src/main/kotlin/io/quetzalfield/peer/PeerServer.kt
+++ b/peer/src/main/kotlin/io/quetzalfield/peer/PeerServer.kt
@@ -15,6 +15,7 @@
     }
     private val server: Server = NettyServerBuilder.forAddress(InetSocketAddress(host, port))
         .executor(executor)
+        .permitKeepAliveTime(KEEP_ALIVE_SECONDS / 2, TimeUnit.SECONDS)
         .addService(service)
         .build()
         .start()
--- a/service-support/src/main/kotlin/io/quetzalfield/support/EventStreamWriter.kt
+++ b/service-support/src/main/kotlin/io/quetzalfield/support/EventStreamWriter.kt
@@ -2,6 +2,9 @@
 
 import io.javalin.http.Context
 
+/** The bytes of one server-sent event whose data is [line], a text without line breaks. */
+public fun eventFrame(line: String): ByteArray = "data: $line\n\n".encodeToByteArray()
+
 /**
  * Writes server-sent events as the answer to [context], each flushed at once. Javalin's own client for such events
  * serves GET requests only.
@@ -18,7 +21,7 @@
         if (!hasStarted) context.contentType("text/event-stream").header("Cache-Control", "no-store")
         hasStarted = true
         val stream = context.res().outputStream
-        stream.write("data: $line\n\n".encodeToByteArray())
+        stream.write(eventFrame(line))
         stream.flush()
     }
 }
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -2,14 +2,23 @@
 
 import io.javalin.Javalin
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.quetzalfield.decision.HomeScope
+import io.quetzalfield.decision.homeOrder
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.peer.PeerClients
 import io.quetzalfield.platform.DutyLease
+import io.quetzalfield.platform.DutyRoster
 import io.quetzalfield.platform.EtcdGatewayKeyValueStore
 import io.quetzalfield.platform.HttpInstanceDirectory
 import io.quetzalfield.platform.InstanceDirectory
 import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.steward.bills.BillDuty
+import io.quetzalfield.steward.bills.BillFolding
+import io.quetzalfield.steward.bills.EndedIncarnations
+import io.quetzalfield.steward.bills.FoldedCells
+import io.quetzalfield.steward.bills.PeerBillWitnesses
 import io.quetzalfield.support.HostPort
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
@@ -21,29 +30,61 @@
 /** A steward that runs: it holds duties under leases until it is closed. */
 public class StewardProgram(
     private val settings: StewardSettings,
-    store: KeyValueStore = EtcdGatewayKeyValueStore(settings.platformAddress),
+    private val store: KeyValueStore = EtcdGatewayKeyValueStore(settings.platformAddress),
     private val directory: InstanceDirectory = HttpInstanceDirectory(settings.platformAddress),
 ) : AutoCloseable {
     private val incarnation = Incarnation(settings.instance, UUID.randomUUID().toString())
     private val registry = PrometheusRegistry()
-    private val lease = DutyLease(
-        store = store,
-        name = "steward",
-        holder = incarnation,
-        timeToLive = settings.leaseTimeToLive,
-        margin = settings.leaseMargin,
+    private val peers = PeerClients()
+
+    @Volatile
+    private var stewards: List<ListedInstance> = emptyList()
+    private val roster = DutyRoster(
+        leases = listOf(BILL_DUTY).associateWith(::newLease),
+        rank = ::rankFor,
+        patience = settings.leaseTimeToLive,
     )
+    private val billDuty = newBillDuty()
     private val server: Javalin = startOperatorServer()
     private val scheduler = newScheduler("steward")
 
     init {
         scheduler.every(settings.dutyPeriod) {
             announce()
-            lease.renew()
+            stewards = directory.instances().getOrNull().orEmpty().filter { it.kind == InstanceKind.STEWARD }
         }
+        scheduler.every(settings.dutyPeriod, roster::renew)
+        scheduler.every(settings.billPeriod) { whileHeld(BILL_DUTY, billDuty::run) }
         logger.info("steward {} has started", incarnation)
     }
 
+    private fun newLease(duty: String): DutyLease = DutyLease(
+        store = store,
+        name = duty,
+        holder = incarnation,
+        timeToLive = settings.leaseTimeToLive,
+        margin = settings.leaseMargin,
+    )
+
+    /** How many other stewards should rather hold [duty]; they differ by duty, so that the duties spread. */
+    private fun rankFor(duty: String): Int =
+        homeOrder(HomeScope(duty), stewards).indexOfFirst { it.id == settings.instance }.coerceAtLeast(0)
+
+    private fun newBillDuty(): BillDuty {
+        val witnesses = PeerBillWitnesses(directory, peers)
+        return BillDuty(
+            ended = EndedIncarnations(store, directory, witnesses, settings.goneAfter),
+            folding = BillFolding(store, witnesses),
+            foldedCells = FoldedCells(store),
+            registry = registry,
+        )
+    }
+
+    private fun whileHeld(duty: String, action: (isHeld: () -> Boolean) -> Unit) {
+        val isHeld = { roster.held(duty) != null }
+        if (isHeld()) action(isHeld)
+    }
+
     private fun startOperatorServer(): Javalin {
         val address = requireNotNull(HostPort.parse(settings.operatorAddress)) { "checked with the settings" }
         return startHttpServer(address.host, address.port) {
@@ -66,13 +107,15 @@
 
     override fun close() {
         scheduler.shutdownNow()
-        lease.release()
+        roster.release()
+        peers.close()
         directory.remove(settings.instance)
         server.stop()
         logger.info("steward {} has stopped", incarnation)
     }
 
     private companion object {
+        const val BILL_DUTY = "bills"
         val logger = LogManager.getLogger(StewardProgram::class.java)
     }
 }
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardSettings.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardSettings.kt
@@ -11,6 +11,7 @@
 import io.quetzalfield.support.loadYaml
 import kotlinx.serialization.Serializable
 import java.nio.file.Path
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -20,6 +21,8 @@
  * @property operatorAddress `host:port` of metrics and status; port 0 takes a free one.
  * @property platformAddress `http://host:port` of the platform's services.
  * @property leaseTimeToLive time after which a duty passes on when its holder falls silent; whole seconds.
+ * @property billPeriod time between two looks for incarnations whose bills are to be folded.
+ * @property goneAfter time without any sign of an entry after which its bills are folded.
  * @property leaseMargin time before the end of the lease at which the holder stops by its own clock.
  */
 @Serializable
@@ -32,6 +35,8 @@
     val leaseTimeToLive: SettingDuration = 6.seconds,
     val leaseMargin: SettingDuration = 2.seconds,
     val dutyPeriod: SettingDuration = 1.seconds,
+    val billPeriod: SettingDuration = 5.seconds,
+    val goneAfter: SettingDuration = 10.seconds,
 )
 
 /** Reads and checks the settings in [file]. */
@@ -52,13 +57,10 @@
     } else {
         SettingsFault("leaseMargin", "${settings.leaseMargin}", "more than 0s and less than leaseTimeToLive")
     },
-    if (settings.dutyPeriod.isPositive()) {
-        null
-    } else {
-        SettingsFault(
-            "dutyPeriod",
-            "${settings.dutyPeriod}",
-            "more than 0s",
-        )
-    },
+    positiveFault("dutyPeriod", settings.dutyPeriod),
+    positiveFault("billPeriod", settings.billPeriod),
+    positiveFault("goneAfter", settings.goneAfter),
 )
+
+private fun positiveFault(key: String, value: Duration): SettingsFault? =
+    if (value.isPositive()) null else SettingsFault(key, "$value", "more than 0s")
--- /dev/null
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/bills/BillFolding.kt
@@ -0,0 +1,117 @@
+package io.quetzalfield.steward.bills
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.platform.StoreRevision
+import io.quetzalfield.platform.StoredValue
+import io.quetzalfield.platform.SwapResult
+import io.quetzalfield.platform.bills.AccountBill
+import io.quetzalfield.platform.bills.BillCell
+import io.quetzalfield.platform.bills.BillTotals
+import io.quetzalfield.platform.bills.CellState
+import io.quetzalfield.platform.bills.accountBillKey
+import io.quetzalfield.platform.bills.billCellKey
+import kotlin.time.Clock
+
+/** Why the bills of an incarnation are not folded yet. Folding again later is harmless. */
+public data class FoldError(val message: String)
+
+/**
+ * Folds what one ended incarnation has billed into the accounts.
+ *
+ * Every step may be repeated, by any steward and at any time, after a lost answer as well as after a crash:
+ * 1. the cell is sealed, so that no write of its incarnation succeeds any more;
+ * 2. the bills that are not in the cell are collected from the witnesses, which refuse later ones;
+ * 3. the sums are added to each account, together with the name of the incarnation;
+ * 4. the cell is marked as folded.
+ */
+public class BillFolding(
+    private val store: KeyValueStore,
+    private val witnesses: BillWitnesses,
+    private val clock: Clock = Clock.System,
+) {
+    /** Folds [incarnation] if its cell is not folded yet. */
+    public fun fold(incarnation: Incarnation): Either<FoldError, Unit> {
+        val sealed = seal(incarnation).getOrElse { return it.left() }
+        if (sealed.cell.state == CellState.FOLDED) return Unit.right()
+        val late = witnesses.collect(incarnation, sealed.cell.sequence)
+            .getOrElse { return FoldError(it.message).left() }
+        val sums = sealed.cell.totals.merge(late)
+        for ((account, totals) in sums) {
+            addToAccount(incarnation, account, totals).onLeft { return it.left() }
+        }
+        return markFolded(incarnation, sealed).onRight { witnesses.forget(incarnation) }
+    }
+
+    private class SealedCell(val cell: BillCell, val revision: StoreRevision)
+
+    private fun seal(incarnation: Incarnation): Either<FoldError, SealedCell> {
+        val key = billCellKey(incarnation)
+        repeat(MAXIMUM_TRIES) {
+            val stored = store.read(key).getOrElse { return FoldError(it.message).left() }
+            val cell = stored?.let { BillCell.fromJson(it.value) } ?: BillCell()
+            val revision = stored?.modified ?: StoreRevision.Absent
+            if (cell.state != CellState.OPEN) return SealedCell(cell, revision).right()
+            store.compareAndSwap(key, revision, cell.copy(state = CellState.SEALED).toJson())
+        }
+        return FoldError("the cell of $incarnation keeps changing").left()
+    }
+
+    /**
+     * Adds [totals] unless the account has them. The cell is looked at after the account was read: as long as it
+     * exists, the account names every incarnation that was folded into it, and once that name is dropped, the account
+     * has changed and the write fails.
+     */
+    private fun addToAccount(
+        incarnation: Incarnation,
+        account: ClientAccountId,
+        totals: BillTotals,
+    ): Either<FoldError, Unit> {
+        val key = accountBillKey(account)
+        repeat(MAXIMUM_TRIES) {
+            val stored = store.read(key).getOrElse { return FoldError(it.message).left() }
+            val bill = stored?.let { AccountBill.fromJson(it.value) } ?: AccountBill()
+            if (incarnation in bill.folded) return Unit.right()
+            if (!isSealed(incarnation)) return FoldError("$incarnation was folded by another").left()
+            val revision = stored?.modified ?: StoreRevision.Absent
+            store.compareAndSwap(key, revision, bill.fold(incarnation, totals).toJson())
+        }
+        return FoldError("the bill of $account keeps changing").left()
+    }
+
+    private fun isSealed(incarnation: Incarnation): Boolean {
+        val stored = store.read(billCellKey(incarnation)).getOrElse { return false }
+        return stored.cellState() == CellState.SEALED
+    }
+
+    private fun markFolded(incarnation: Incarnation, sealed: SealedCell): Either<FoldError, Unit> {
+        val folded = sealed.cell.copy(
+            state = CellState.FOLDED,
+            foldedAtEpochMilliseconds = clock.now().toEpochMilliseconds(),
+        )
+        val swap = store.compareAndSwap(billCellKey(incarnation), sealed.revision, folded.toJson())
+            .getOrElse { return FoldError(it.message).left() }
+        val isFolded = when (swap) {
+            is SwapResult.Swapped -> true
+            is SwapResult.Conflict -> swap.current.cellState() != CellState.SEALED
+        }
+        return if (isFolded) Unit.right() else FoldError("the cell of $incarnation has changed").left()
+    }
+
+    private fun StoredValue?.cellState(): CellState? = this?.let { BillCell.fromJson(it.value).state }
+
+    private fun Map<ClientAccountId, BillTotals>.merge(late: List<CollectedBill>): Map<ClientAccountId, BillTotals> {
+        val sums = toMutableMap()
+        for (bill in late) sums.merge(bill.account, bill.totals, BillTotals::plus)
+        return sums
+    }
+
+    private companion object {
+        const val MAXIMUM_TRIES = 5
+    }
+}
--- /dev/null
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/bills/EndedIncarnations.kt
@@ -0,0 +1,57 @@
+package io.quetzalfield.steward.bills
+
+import arrow.core.getOrElse
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceKind
+import io.quetzalfield.platform.InstanceDirectory
+import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.platform.bills.BILL_CELL_PREFIX
+import io.quetzalfield.platform.bills.BillCell
+import io.quetzalfield.platform.bills.CellState
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+
+/**
+ * Finds the incarnations that have billed and have ended: for [goneAfter] neither did the platform list them nor did a
+ * witness hear from them. A mistake is harmless, as a sealed incarnation goes on under a new name.
+ */
+public class EndedIncarnations(
+    private val store: KeyValueStore,
+    private val directory: InstanceDirectory,
+    private val witnesses: BillWitnesses,
+    private val goneAfter: Duration,
+    private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) {
+    private val missingSince = mutableMapOf<Incarnation, ComparableTimeMark>()
+
+    /** The incarnations to fold now. */
+    public fun find(): Set<Incarnation> {
+        val listed = directory.instances().getOrElse { return emptySet() }
+        val cells = cellStates() ?: return emptySet()
+        val senders = witnesses.senders().groupBy(WitnessedSender::incarnation)
+        val unfolded = cells.filterValues { it != CellState.FOLDED }.keys + (senders.keys - cells.keys)
+        val liveStarts = listed.filter { it.kind == InstanceKind.ENTRY }.map { it.id to it.start }.toSet()
+        val missing = unfolded.filterNot { incarnation ->
+            val isListed = (incarnation.instance to incarnation.start.substringBefore(COUNTER_SEPARATOR)) in liveStarts
+            val isHeard = senders[incarnation].orEmpty().any { it.silence < goneAfter }
+            cells[incarnation] != CellState.SEALED && (isListed || isHeard)
+        }
+        missingSince.keys.retainAll(missing.toSet())
+        missing.forEach { missingSince.getOrPut(it, timeSource::markNow) }
+        return missing.filter { cells[it] == CellState.SEALED || isGone(it) }.toSet()
+    }
+
+    private fun isGone(incarnation: Incarnation): Boolean = missingSince.getValue(incarnation).elapsedNow() >= goneAfter
+
+    private fun cellStates(): Map<Incarnation, CellState>? = store.list(BILL_CELL_PREFIX).getOrNull()
+        ?.mapNotNull { stored ->
+            Incarnation.parse(stored.key.removePrefix(BILL_CELL_PREFIX))
+                ?.let { it to BillCell.fromJson(stored.value).state }
+        }
+        ?.toMap()
+
+    private companion object {
+        const val COUNTER_SEPARATOR = '.'
+    }
+}
