--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -38,10 +38,17 @@
     private val lists = ListsHolder()
     private val fleet = FleetView(directory)
     private val loads = RunnerLoadTracker(fleet, client)
-    private val ledger = BillLedger(incarnation, store)
     private val gate = ShutdownGate()
     private val peers = PeerClients()
-    private val peerServer = startPeerServer()
+    private val scheduler = newScheduler("entry")
+    private val billedKeys = BilledKeys()
+    private val ledger = BillLedger(
+        process = incarnation,
+        store = store,
+        witness = PeerBillWitness(settings.instance, settings.failureDomain, fleet, peers),
+        billedKeys = billedKeys,
+        observer = metrics::countBill,
+    )
     private val distribution = ListsDistribution(
         incarnation = incarnation,
         ownFailureDomain = settings.failureDomain,
@@ -51,6 +58,7 @@
         peers = peers,
         store = store,
     )
+    private val decisionLists = CurrentLists(lists, distribution::isCurrent)
     private val completions = CompletionService(
         ownFailureDomain = settings.failureDomain,
         routeChooser = CheapestSufficientRouteChooser(),
@@ -61,18 +69,31 @@
         ledger = ledger,
         metrics = metrics,
     )
+    private val services = ServiceCallService(incarnation, ServiceClient(fleet, client), store)
+    private val sessionTokens = SignedTokens("session", SessionPin.serializer())
+    private val ticketTokens = SignedTokens("ticket", Ticket.serializer())
+    private val requests = CallerRequests(
+        reader = CompletionReader(sessionTokens),
+        completions = KeyedCompletions(completions),
+        services = services,
+        ticketTokens = ticketTokens,
+        forwarder = Forwarder(incarnation, fleet, peers, scheduler, metrics),
+        metrics = metrics,
+    )
     private val callerApi = CallerApi(
-        lists = lists,
+        lists = decisionLists,
         fleet = fleet,
         completions = completions,
-        services = ServiceCallService(incarnation, fleet, client),
+        services = services,
+        requests = requests,
+        sessionTokens = sessionTokens,
+        ticketTokens = ticketTokens,
         addressValidity = settings.addressValidity,
         metrics = metrics,
         gate = gate,
-        areListsCurrent = distribution::isCurrent,
     )
+    private val peerServer = startPeerServer()
     private val server: Javalin = startCallerServer()
-    private val scheduler = newScheduler("entry")
 
     init {
         fleet.refresh()
@@ -107,7 +128,13 @@
 
     private fun startPeerServer(): PeerServer {
         val address = requireNotNull(HostPort.parse(settings.peerAddress)) { "checked with the settings" }
-        return PeerServer(address.host, address.port, EntryPeerService(lists, onNewLists = { distribution.spread() }))
+        val peerService = EntryPeerService(
+            lists = lists,
+            witnessedBills = WitnessedBills(billedKeys),
+            forwarded = ForwardedRequests(decisionLists, gate, requests),
+            onNewLists = distribution::spread,
+        )
+        return PeerServer(address.host, address.port, peerService)
     }
 
     private fun announce(isLeaving: Boolean) {
--- a/entry/src/test/kotlin/io/quetzalfield/entry/ListsDistributionTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/ListsDistributionTest.kt
@@ -49,7 +49,7 @@
             random = Random(1),
             timeSource = time,
         )
-        val server = PeerServer("127.0.0.1", 0, EntryPeerService(lists))
+        val server = PeerServer("127.0.0.1", 0, EntryPeerService(lists, WitnessedBills(BilledKeys()), { _, _ -> }))
         val listed = ListedInstance(
             id = InstanceId(id),
             kind = InstanceKind.ENTRY,
