Locate every settings error by the YAML nodes, and say what is allowed

Cause: a fault's line was found by a search of the text, so that a key in a comment or of another element was taken for it; a wrong unit ended the program with a stack trace, as the duration serializer's error passed the loader by. Ruled out: catching every serialization error without a place (the operator then has no line to go to). Change: faults are located by their path in kaml's node tree; the project's serializers throw ScalarFormatException, which is found in the same tree; what is allowed is told from the serial descriptor.

--- a/model/src/main/kotlin/io/quetzalfield/model/ModelVersionReference.kt
+++ b/model/src/main/kotlin/io/quetzalfield/model/ModelVersionReference.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.descriptors.PrimitiveKind
 import kotlinx.serialization.descriptors.PrimitiveSerialDescriptor
 import kotlinx.serialization.descriptors.SerialDescriptor
@@ -39,6 +38,6 @@
     override fun deserialize(decoder: Decoder): ModelVersionReference {
         val text = decoder.decodeString()
         return ModelVersionReference.parse(text)
-            ?: throw SerializationException("'$text' names no version; allowed: model@version")
+            ?: throw ScalarFormatException(descriptor.serialName, text, allowed = "model@version")
     }
 }
--- a/service-support/src/main/kotlin/io/quetzalfield/support/DurationSerializer.kt
+++ b/service-support/src/main/kotlin/io/quetzalfield/support/DurationSerializer.kt
@@ -1,8 +1,8 @@
 package io.quetzalfield.support
 
+import io.quetzalfield.model.ScalarFormatException
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.descriptors.PrimitiveKind
 import kotlinx.serialization.descriptors.PrimitiveSerialDescriptor
 import kotlinx.serialization.descriptors.SerialDescriptor
@@ -26,8 +26,9 @@
     override fun deserialize(decoder: Decoder): Duration {
         val text = decoder.decodeString()
         return Duration.parseOrNull(text)
-            ?: throw SerializationException(
-                "'$text' is no duration; allowed: a number with a unit, such as 500ms or 2s",
-            )
+            ?: throw ScalarFormatException(descriptor.serialName, text, ALLOWED)
     }
+
+    /** What is allowed, in words. */
+    internal const val ALLOWED: String = "a number with a unit, such as 500ms or 2s"
 }
--- a/service-support/src/main/kotlin/io/quetzalfield/support/SettingsLoader.kt
+++ b/service-support/src/main/kotlin/io/quetzalfield/support/SettingsLoader.kt
@@ -3,10 +3,11 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import com.charleskorn.kaml.UnknownPropertyException
 import com.charleskorn.kaml.Yaml
 import com.charleskorn.kaml.YamlConfiguration
 import com.charleskorn.kaml.YamlException
+import com.charleskorn.kaml.YamlNode
+import io.quetzalfield.model.ScalarFormatException
 import kotlinx.serialization.KSerializer
 import java.io.IOException
 import java.nio.file.Files
@@ -15,8 +16,9 @@
 /**
  * A fault in a YAML file.
  *
- * @property line line of the fault, from 1; 0 when it cannot be told.
+ * @property line line of the fault, from 1; 0 when the file could not be read.
  * @property key path of the key.
+ * @property problem what is wrong, with the value that was found.
  * @property allowed what would be right.
  */
 public data class SettingsError(
@@ -29,9 +31,24 @@
     override fun toString(): String = "$file:$line: $key: $problem; allowed: $allowed"
 }
 
-/** A fault that a check of already read settings found. */
+/**
+ * A setting that can be read but is not right.
+ *
+ * @property key path of the key, such as `plans[bench].qualityTarget`.
+ */
 public data class SettingsFault(val key: String, val found: String, val allowed: String)
 
+/**
+ * What a YAML file says.
+ *
+ * @property document the file's nodes, by which faults found later are located.
+ */
+public class LoadedYaml<T>(public val file: String, public val value: T, private val document: YamlNode) {
+    /** The error that reports [fault] with the line at which it stands. */
+    public fun locate(fault: SettingsFault): SettingsError =
+        SettingsError(file, document.lineOf(fault), fault.key, "is ${fault.found}", fault.allowed)
+}
+
 private val strictYaml = Yaml(configuration = YamlConfiguration(strictMode = true))
 
 /** Reads [file] by [serializer] and applies [check]; the errors name file, line, key, value and what is allowed. */
@@ -39,43 +56,54 @@
     file: Path,
     serializer: KSerializer<T>,
     check: (T) -> List<SettingsFault> = { emptyList() },
-): Either<List<SettingsError>, T> {
-    val text = try {
-        Files.readString(file)
-    } catch (error: IOException) {
-        return listOf(SettingsError("$file", 0, "file", "cannot be read: $error", "a readable YAML file")).left()
-    }
-    return parseYaml("$file", text, serializer, check)
+): Either<List<SettingsError>, T> = when (val text = readText(file)) {
+    is Either.Left -> listOf(text.value).left()
+    is Either.Right -> parseYaml("$file", text.value, serializer, check)
 }
 
+/** Reads [file] as [loadYaml] does, and keeps what is needed to locate faults that are found later. */
+public fun <T> loadLocatedYaml(file: Path, serializer: KSerializer<T>): Either<List<SettingsError>, LoadedYaml<T>> =
+    when (val text = readText(file)) {
+        is Either.Left -> listOf(text.value).left()
+        is Either.Right -> decodeYaml("$file", text.value, serializer)
+    }
+
 /** Reads [text], which came from [fileName], as [loadYaml] does. */
 public fun <T> parseYaml(
     fileName: String,
     text: String,
     serializer: KSerializer<T>,
     check: (T) -> List<SettingsFault> = { emptyList() },
-): Either<List<SettingsError>, T> = try {
-    val settings = strictYaml.decodeFromString(serializer, text)
-    val faults = check(settings)
-    if (faults.isEmpty()) settings.right() else faults.map { it.located(fileName, text) }.left()
-} catch (error: YamlException) {
-    listOf(error.toSettingsError(fileName)).left()
-}
+): Either<List<SettingsError>, T> = when (val loaded = decodeYaml(fileName, text, serializer)) {
+    is Either.Left -> loaded
 
-private fun YamlException.toSettingsError(fileName: String): SettingsError = when (this) {
-    is UnknownPropertyException -> SettingsError(
-        file = fileName,
-        line = line,
-        key = path.toHumanReadableString(),
-        problem = "unknown key '$propertyName'",
-        allowed = validPropertyNames.sorted().joinToString(),
-    )
+    is Either.Right -> {
+        val faults = check(loaded.value.value)
+        if (faults.isEmpty()) loaded.value.value.right() else faults.map(loaded.value::locate).left()
+    }
+}
 
-    else -> SettingsError(fileName, line, path.toHumanReadableString(), message, "see docs/OPERATING.md")
+private fun readText(file: Path): Either<SettingsError, String> = try {
+    Files.readString(file).right()
+} catch (error: IOException) {
+    SettingsError("$file", 0, "file", "cannot be read: $error", "a readable YAML file").left()
 }
 
-private fun SettingsFault.located(fileName: String, text: String): SettingsError {
-    val lastKey = key.substringAfterLast('.').substringBefore('[')
-    val line = text.lines().indexOfFirst { it.trimStart().removePrefix("- ").startsWith("$lastKey:") } + 1
-    return SettingsError(fileName, line, key, "is $found", allowed)
+private fun <T> decodeYaml(
+    fileName: String,
+    text: String,
+    serializer: KSerializer<T>,
+): Either<List<SettingsError>, LoadedYaml<T>> {
+    val document = try {
+        strictYaml.parseToYamlNode(text)
+    } catch (error: YamlException) {
+        return listOf(error.toSettingsError(fileName, serializer.descriptor, document = null)).left()
+    }
+    return try {
+        LoadedYaml(fileName, strictYaml.decodeFromYamlNode(serializer, document), document).right()
+    } catch (error: YamlException) {
+        listOf(error.toSettingsError(fileName, serializer.descriptor, document)).left()
+    } catch (error: ScalarFormatException) {
+        listOf(error.toSettingsError(fileName, serializer.descriptor, document)).left()
+    }
 }
