Let operators check, compare, apply, show, explain and watch from one command line

Cause: operators could only check and apply, with no diff, no wait, and no way to see what an entry did with a request; after a lost answer a lists write that had not taken effect was told as a clash, and one that had been replaced since as not written. Ruled out: reading explanations out of logs; a status of fixed shape for all daemons, as each new part of a program would have to change it (sections are given by the parts themselves). Faults of both files show at once with file and line. apply names the base it was edited from, sends a write with a lost answer again, and waits until all live entries are at the revision.

Gauges for the age of lists, list of instances and load reports; counters of every refusal and retry reason start at zero. Before: none of this could be run.

--- a/entry/src/main/kotlin/io/quetzalfield/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CallerApi.kt
@@ -46,6 +46,7 @@
     private val addressValidity: Duration,
     private val metrics: EntryMetrics,
     private val gate: ShutdownGate,
+    private val sessions: SessionCounts,
     private val clock: Clock = Clock.System,
 ) {
     private val sessionTokens = SignedTokens("session", SessionPin.serializer())
@@ -140,6 +141,7 @@
         )
         return sessionTokens.sign(pin, caller.snapshot)
             .mapLeft { NotRun(RefusalReason.LISTS_NOT_CURRENT, it.message) }
+            .onRight { sessions.countOpened(version) }
             .map { OpenSessionAnswer(pin.session.value, it, version.toString(), pin.revision.value) }
     }
 
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
@@ -3,6 +3,8 @@
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.quetzalfield.model.InterruptionReason
+import io.quetzalfield.model.RefusalReason
 import io.quetzalfield.model.RequestFailure
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -41,6 +43,13 @@
         .help("Time from the request to the end of the answer")
         .register(registry)
 
+    init {
+        // Every reason shows from the start, so that an alarm on a rate sees the first one.
+        RefusalReason.entries.forEach { failures.initLabelValues(it.code) }
+        InterruptionReason.entries.forEach { failures.initLabelValues(it.code) }
+        RetryReason.entries.forEach { retries.initLabelValues(it.label) }
+    }
+
     public fun countFailure(failure: RequestFailure) {
         failures.labelValues(failure.reason).inc()
     }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -35,13 +35,16 @@
     private val client = newClient()
     private val metrics = EntryMetrics()
     private val lists = ListsHolder()
-    private val fleet = FleetView(directory)
-    private val loads = RunnerLoadTracker(fleet, client)
+    private val ages = StateAges().also { it.register(metrics.registry) }
+    private val sessions = SessionCounts(metrics.registry)
+    private val journal = BoundedRequestJournal()
+    private val fleet = FleetView(directory, ages)
+    private val loads = RunnerLoadTracker(fleet, client, ages)
     private val ledger = BillLedger(incarnation, store)
     private val gate = ShutdownGate()
     private val peers = PeerClients()
     private val peerServer = startPeerServer()
-    private val distribution = ListsDistribution(incarnation, lists, fleet, peers, store)
+    private val distribution = ListsDistribution(incarnation, lists, fleet, peers, store, ages)
     private val completions = CompletionService(
         ownFailureDomain = settings.failureDomain,
         routeChooser = CheapestSufficientRouteChooser(),
@@ -51,6 +54,7 @@
         runners = RunnerClient(client),
         ledger = ledger,
         metrics = metrics,
+        journal = journal,
     )
     private val callerApi = CallerApi(
         lists = lists,
@@ -60,8 +64,22 @@
         addressValidity = settings.addressValidity,
         metrics = metrics,
         gate = gate,
+        sessions = sessions,
+    )
+    private val status = EntryStatus(
+        incarnation = incarnation,
+        lists = lists,
+        journal = journal,
+        sections = listOf(
+            agesSection(ages),
+            requestsSection(gate),
+            versionsSection(lists),
+            sessionsSection(sessions),
+            billsSection(lists, ledger),
+        ),
     )
     private val server: Javalin = startCallerServer()
+    private val operatorServer: Javalin = startOperatorServer()
     private val scheduler = newScheduler("entry")
 
     init {
@@ -82,6 +100,10 @@
     public val callerAddress: String
         get() = "http://${HostPort.parse(settings.callerAddress)?.host}:${server.port()}"
 
+    /** The address at which operators are answered. */
+    public val operatorAddress: String
+        get() = "http://${HostPort.parse(settings.operatorAddress)?.host}:${operatorServer.port()}"
+
     private val peerAddress: String
         get() = "${HostPort.parse(settings.peerAddress)?.host}:${peerServer.port}"
 
@@ -93,6 +115,16 @@
         }
     }
 
+    private fun startOperatorServer(): Javalin {
+        val address = requireNotNull(HostPort.parse(settings.operatorAddress)) { "checked with the settings" }
+        return startHttpServer(
+            host = address.host,
+            port = address.port,
+            threads = OPERATOR_THREADS,
+            routes = OperatorApi(status, metrics)::addRoutes,
+        )
+    }
+
     private fun startPeerServer(): PeerServer {
         val address = requireNotNull(HostPort.parse(settings.peerAddress)) { "checked with the settings" }
         return PeerServer(address.host, address.port, EntryPeerService(lists))
@@ -108,6 +140,7 @@
                 peerAddress = peerAddress,
                 isLeaving = isLeaving,
                 start = incarnation.start,
+                operatorAddress = operatorAddress,
             ),
         )
     }
@@ -127,12 +160,14 @@
         distribution.close()
         directory.remove(settings.instance)
         server.stop()
+        operatorServer.stop()
         peerServer.close()
         peers.close()
         logger.info("entry {} has stopped, {}", incarnation, if (isDrained) "drained" else "with requests running")
     }
 
     private companion object {
+        const val OPERATOR_THREADS = 32
         const val LARGEST_CONCURRENCY = 4_096
         const val IDLE_CONNECTIONS = 256
         const val KEEP_ALIVE_MINUTES = 5L
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntrySettings.kt
@@ -24,6 +24,7 @@
  * @property instance the platform's name of the instance.
  * @property callerAddress `host:port` at which callers are answered; port 0 takes a free one.
  * @property peerAddress `host:port` of the peer protocol; port 0 takes a free one.
+ * @property operatorAddress `host:port` of the interface towards operators; port 0 takes a free one.
  * @property platformAddress `http://host:port` of the platform's services.
  * @property addressValidity how long callers may keep an address answer.
  * @property listRefresh time between two looks at the platform's list of instances.
@@ -38,6 +39,7 @@
     val callerAddress: String,
     val peerAddress: String,
     val platformAddress: String,
+    val operatorAddress: String = "127.0.0.1:0",
     val addressValidity: SettingDuration = 10.seconds,
     val listRefresh: SettingDuration = 500.milliseconds,
     val loadRefresh: SettingDuration = 250.milliseconds,
@@ -63,6 +65,7 @@
     return listOfNotNull(
         addressFault("callerAddress", settings.callerAddress),
         addressFault("peerAddress", settings.peerAddress),
+        addressFault("operatorAddress", settings.operatorAddress),
         httpAddressFault("platformAddress", settings.platformAddress),
         sizeFault(settings.largestBodyBytes),
     ) + durations.mapNotNull { (key, value) -> durationFault(key, value) }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/FleetView.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/FleetView.kt
@@ -11,7 +11,7 @@
  * What this entry knows of the other instances: the platform's lagging list, corrected by what was learnt at first
  * hand. An instance that is known to be leaving stays so until it is restarted.
  */
-public class FleetView(private val directory: InstanceDirectory) {
+public class FleetView(private val directory: InstanceDirectory, private val ages: StateAges = StateAges()) {
     @Volatile
     private var listed: List<ListedInstance> = emptyList()
     private val leaving = ConcurrentHashMap.newKeySet<InstanceRun>()
@@ -40,6 +40,7 @@
     public fun refresh() {
         directory.instances().onRight { instances ->
             listed = instances
+            ages.confirm(HeldState.Instances)
             instances.filter(ListedInstance::isLeaving).forEach { leaving += it.run }
         }
     }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/ListsDistribution.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ListsDistribution.kt
@@ -23,12 +23,16 @@
     private val fleet: FleetView,
     private val peers: PeerClients,
     private val store: KeyValueStore,
+    private val ages: StateAges = StateAges(),
 ) : AutoCloseable {
     private var watch: StoreWatch? = null
     private var nextPeer = 0
 
     fun start() {
-        watch = store.watch(LISTS_KEY) { change -> change.value?.let { lists.adoptJson(it.value) } }
+        watch = store.watch(LISTS_KEY) { change ->
+            ages.confirm(HeldState.Lists)
+            change.value?.let { lists.adoptJson(it.value) }
+        }
     }
 
     /** Exchanges lists with the next live entry. */
@@ -45,6 +49,7 @@
             .build()
         val address = peer.peerAddress ?: return
         peers.call(address, EXCHANGE_TIMEOUT) { it.exchangeLists(offer) }.onRight { reply ->
+            ages.confirm(HeldState.Lists)
             if (!reply.lists.isEmpty) lists.adoptJson(reply.lists.toStringUtf8())
             if (reply.revision < lists.revision.value) push(address)
         }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RunnerLoadTracker.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RunnerLoadTracker.kt
@@ -18,7 +18,11 @@
 public fun InstanceId.toRunnerId(): RunnerId = RunnerId(value)
 
 /** Load reports of runners, corrected by the requests that this entry has sent since. */
-public class RunnerLoadTracker(private val fleet: FleetView, client: OkHttpClient) {
+public class RunnerLoadTracker(
+    private val fleet: FleetView,
+    client: OkHttpClient,
+    private val ages: StateAges = StateAges(),
+) {
     private class Load {
         @Volatile
         var report: EngineLoad? = null
@@ -58,6 +62,7 @@
 
     /** Asks every live runner for its load. */
     public fun refresh() {
+        ages.keepReportsOf(fleet.runners.map { it.id.toRunnerId() }.toSet())
         fleet.runners.forEach(::refresh)
     }
 
@@ -66,6 +71,7 @@
         val load = loads.computeIfAbsent(runner.id.toRunnerId()) { Load() }
         load.inFlightAtReport = load.inFlight.get()
         load.report = report
+        ages.confirm(HeldState.LoadReport(runner.id.toRunnerId()))
         if (report.isLeaving) fleet.markLeaving(runner.id)
     }
 
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/SessionCounts.kt
@@ -0,0 +1,26 @@
+package io.quetzalfield.entry
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.quetzalfield.model.ModelVersionReference
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.LongAdder
+
+/** Counts the sessions that were opened here, by the version that each keeps. */
+public class SessionCounts(registry: PrometheusRegistry) {
+    private val counts = ConcurrentHashMap<ModelVersionReference, LongAdder>()
+    private val opened = Counter.builder()
+        .name("quetzalfield_sessions_opened_total")
+        .help("Sessions opened, by model version")
+        .labelNames("version")
+        .register(registry)
+
+    /** Counts a session on [version]. */
+    public fun countOpened(version: ModelVersionReference) {
+        counts.computeIfAbsent(version) { LongAdder() }.increment()
+        opened.labelValues("$version").inc()
+    }
+
+    /** Sessions opened so far. */
+    public fun byVersion(): Map<ModelVersionReference, Long> = counts.mapValues { it.value.sum() }
+}
--- a/entry/src/main/kotlin/io/quetzalfield/entry/ShutdownGate.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ShutdownGate.kt
@@ -16,6 +16,9 @@
     public var isClosed: Boolean = false
         private set
 
+    /** How many requests run now. */
+    public val runningRequests: Int get() = lock.withLock { running }
+
     /** Runs [action] as a running request; `null` when the gate is closed. */
     public fun <T : Any> enter(action: () -> T): T? {
         lock.withLock {
--- a/model/src/main/kotlin/io/quetzalfield/model/RunnerDescription.kt
+++ b/model/src/main/kotlin/io/quetzalfield/model/RunnerDescription.kt
@@ -16,6 +16,7 @@
  * @property service the service that a service instance belongs to.
  * @property start the start number of an entry or steward.
  * @property slots how many requests a runner batches at a time.
+ * @property operatorAddress `http://` address of the operator interface of an entry or steward.
  */
 @Serializable
 public data class ListedInstance(
@@ -29,6 +30,7 @@
     val service: ServiceId? = null,
     val start: String? = null,
     val slots: Int = 8,
+    val operatorAddress: String? = null,
 )
 
 /** The incarnation that runs on the instance, when the list names its start number. */
--- /dev/null
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ExplainCommand.kt
@@ -0,0 +1,30 @@
+package io.quetzalfield.operator
+
+import arrow.core.getOrElse
+import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.optional
+import com.github.ajalt.clikt.parameters.groups.provideDelegate
+import io.quetzalfield.model.InstanceKind
+import io.quetzalfield.model.RequestId
+import io.quetzalfield.support.status.RequestExplanation
+
+/** Explains one request as the entry that decided it noted it. */
+internal class ExplainCommand(connector: PlatformConnector) :
+    OperatorCommand("explain", "Explain a request: how it was decided, sent, answered and billed") {
+    private val request by argument(help = "Request id, from the header Quetzalfield-Request of its answer").optional()
+    private val platform by PlatformOptions(connector)
+
+    override fun run() {
+        val id = RequestId(request ?: throw UsageError("name the request to explain"))
+        val connection = platform.connect()
+        val entries = connection.directory.instances()
+            .getOrElse { fail(ExitCode.PLATFORM_SILENT, listOf(it.message)) }
+            .filter { it.kind == InstanceKind.ENTRY }
+        val answers = entries.associate { it.id to connection.daemons.explanation(it, id) }
+        val explanations = answers.values.mapNotNull { it.getOrNull() }
+        val silent = answers.mapNotNull { (entry, answer) -> answer.leftOrNull()?.let { "$entry: ${it.message}" } }
+        if (explanations.isEmpty()) fail(ExitCode.NOT_FOUND, listOf("no live entry knows request $id") + silent)
+        explanations.forEach { report(RequestExplanation.serializer(), it, RequestExplanation::toLines) }
+    }
+}
--- a/operator/src/main/kotlin/io/quetzalfield/operator/ListsFiles.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ListsFiles.kt
@@ -1,7 +1,6 @@
 package io.quetzalfield.operator
 
 import arrow.core.Either
-import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
 import io.quetzalfield.model.ClientPlanList
@@ -10,25 +9,31 @@
 import io.quetzalfield.model.ModelList
 import io.quetzalfield.model.OperatorLists
 import io.quetzalfield.model.validateLists
+import io.quetzalfield.support.LoadedYaml
 import io.quetzalfield.support.SettingsError
-import io.quetzalfield.support.loadYaml
+import io.quetzalfield.support.SettingsFault
+import io.quetzalfield.support.loadLocatedYaml
 import java.nio.file.Path
 
 /** The two files that operators edit. */
 public data class ListsFiles(val plans: Path, val models: Path)
 
-/** Reads and checks both files; the lists get revision [revision]. */
-public fun ListsFiles.load(revision: ListsRevision): Either<List<String>, OperatorLists> =
-    loadYaml(plans, ClientPlanList.serializer()).mapErrors().flatMap { planList ->
-        loadYaml(models, ModelList.serializer()).mapErrors().flatMap { modelList ->
-            checked(OperatorLists(revision, planList, modelList))
-        }
-    }
+/** The parts of the lists that stand in the file of the models. */
+private val modelListParts = listOf("models", "services", "permissions")
 
-private fun checked(lists: OperatorLists): Either<List<String>, OperatorLists> {
-    val faults = validateLists(lists)
-    return if (faults.isEmpty()) lists.right() else faults.map(ListsFault::toString).left()
+/** Reads and checks both files; the lists get revision [revision]. Errors name file, line and reason. */
+public fun ListsFiles.load(revision: ListsRevision): Either<List<SettingsError>, OperatorLists> {
+    val planList = loadLocatedYaml(plans, ClientPlanList.serializer())
+    val modelList = loadLocatedYaml(models, ModelList.serializer())
+    val unreadable = planList.leftOrNull().orEmpty() + modelList.leftOrNull().orEmpty()
+    if (planList !is Either.Right || modelList !is Either.Right) return unreadable.left()
+    val lists = OperatorLists(revision, planList.value.value, modelList.value.value)
+    val faults = validateLists(lists).map { it.locate(planList.value, modelList.value) }
+    return if (faults.isEmpty()) lists.right() else faults.left()
 }
 
-private fun <T> Either<List<SettingsError>, T>.mapErrors(): Either<List<String>, T> =
-    mapLeft { errors -> errors.map(SettingsError::toString) }
+private fun ListsFault.locate(plans: LoadedYaml<*>, models: LoadedYaml<*>): SettingsError {
+    val part = path.substringBefore('[').substringBefore('.')
+    val file = if (part in modelListParts) models else plans
+    return file.locate(SettingsFault(path, found, allowed))
+}
--- a/operator/src/main/kotlin/io/quetzalfield/operator/ListsStore.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ListsStore.kt
@@ -1,7 +1,6 @@
 package io.quetzalfield.operator
 
 import arrow.core.Either
-import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
 import io.quetzalfield.model.ListsRevision
@@ -20,13 +19,16 @@
     val nextRevision: ListsRevision get() = ListsRevision((lists?.revision?.value ?: 0) + 1)
 }
 
-/** Why lists were not written. */
+/** Why an apply is not known to have taken effect. */
 public sealed interface ApplyError {
     /** Another operator has written since; nothing was written. */
     public data class Clash(val current: OperatorLists?) : ApplyError
 
-    /** The store gave no answer. */
+    /** The store refused the write or could not be reached; nothing was written. */
     public data class StoreFailed(val error: KeyValueError) : ApplyError
+
+    /** The store's answer is lost, and what it holds now does not tell whether the write took effect. */
+    public data class OutcomeUnknown(val message: String) : ApplyError
 }
 
 /** Reads and replaces the lists in the platform's key-value service. */
@@ -35,34 +37,48 @@
     public fun read(): Either<KeyValueError, StoredLists> = store.read(LISTS_KEY).map { it.toStoredLists() }
 
     /**
-     * Replaces the lists read as [base] by [lists]. When the answer is lost, the stored value tells whether the write
-     * took effect.
+     * Replaces the lists read as [base] by [lists]. When the answer is lost, the write is sent again: it names the same
+     * base, so that it takes effect at most once, and a conflict shows whether an earlier one did.
      */
     public fun replace(base: StoredLists, lists: OperatorLists): Either<ApplyError, Unit> {
         val json = PlatformJson.encodeToString(OperatorLists.serializer(), lists)
-        return when (val result = store.compareAndSwap(LISTS_KEY, base.storeRevision, json)) {
-            is Either.Right -> when (val swap = result.value) {
-                is SwapResult.Swapped -> Unit.right()
-                is SwapResult.Conflict -> ApplyError.Clash(swap.current.toStoredLists().lists).left()
-            }
+        var lost: KeyValueError.OutcomeUnknown? = null
+        repeat(ATTEMPTS) {
+            when (val result = store.compareAndSwap(LISTS_KEY, base.storeRevision, json)) {
+                is Either.Right -> return result.value.outcome(json, lists, lost)
 
-            is Either.Left ->
-                if (result.value is KeyValueError.OutcomeUnknown) {
-                    readBack(json)
-                } else {
-                    ApplyError.StoreFailed(result.value).left()
+                is Either.Left -> when (val error = result.value) {
+                    is KeyValueError.OutcomeUnknown -> lost = error
+                    else -> if (lost == null) return ApplyError.StoreFailed(error).left()
                 }
+            }
         }
+        return ApplyError.OutcomeUnknown(lost?.message.orEmpty()).left()
     }
 
-    private fun readBack(json: String): Either<ApplyError, Unit> = store.read(LISTS_KEY)
-        .mapLeft { ApplyError.StoreFailed(it) }
-        .flatMap { stored ->
-            if (stored?.value == json) Unit.right() else ApplyError.Clash(stored.toStoredLists().lists).left()
+    private fun SwapResult.outcome(
+        json: String,
+        lists: OperatorLists,
+        lost: KeyValueError.OutcomeUnknown?,
+    ): Either<ApplyError, Unit> {
+        if (this !is SwapResult.Conflict) return Unit.right()
+        if (current?.value == json) return Unit.right()
+        val present = current.toStoredLists().lists
+        // After a lost answer, a higher revision may stand on top of these lists; the same one stands in their place.
+        val mayHaveBeenReplaced = lost != null && present != null && present.revision > lists.revision
+        return if (mayHaveBeenReplaced) {
+            ApplyError.OutcomeUnknown("${lost?.message}; revision ${present?.revision} stands now").left()
+        } else {
+            ApplyError.Clash(present).left()
         }
+    }
 
     private fun StoredValue?.toStoredLists(): StoredLists {
         if (this == null) return StoredLists(null, StoreRevision.Absent)
         return StoredLists(PlatformJson.decodeFromString(OperatorLists.serializer(), value), modified)
     }
+
+    private companion object {
+        const val ATTEMPTS = 3
+    }
 }
--- /dev/null
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/PlatformConnection.kt
@@ -0,0 +1,26 @@
+package io.quetzalfield.operator
+
+import io.quetzalfield.platform.EtcdGatewayKeyValueStore
+import io.quetzalfield.platform.HttpInstanceDirectory
+import io.quetzalfield.platform.InstanceDirectory
+import io.quetzalfield.platform.KeyValueStore
+
+/** What a command needs of the world outside. */
+public class PlatformConnection(
+    public val store: KeyValueStore,
+    public val directory: InstanceDirectory,
+    public val daemons: DaemonClient,
+)
+
+/** Opens the connection to a platform. */
+public fun interface PlatformConnector {
+    /** @param address `http://host:port` of the platform. */
+    public fun connect(address: String): PlatformConnection
+
+    public companion object {
+        /** Connects over HTTP. */
+        public val Http: PlatformConnector = PlatformConnector { address ->
+            PlatformConnection(EtcdGatewayKeyValueStore(address), HttpInstanceDirectory(address), HttpDaemonClient())
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ShowCommand.kt
@@ -0,0 +1,45 @@
+package io.quetzalfield.operator
+
+import arrow.core.getOrElse
+import com.charleskorn.kaml.Yaml
+import com.github.ajalt.clikt.parameters.groups.provideDelegate
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.path
+import io.quetzalfield.model.ClientPlanList
+import io.quetzalfield.model.ListsRevision
+import io.quetzalfield.model.ModelList
+import kotlinx.serialization.Serializable
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** The result of `show`: the stored revision, and what each live entry has in force. */
+@Serializable
+private data class ShowReport(val storedRevision: ListsRevision, val entries: List<EntryRevision>)
+
+/** Shows which lists are stored and in force, and writes the stored ones into files to edit. */
+internal class ShowCommand(connector: PlatformConnector) :
+    OperatorCommand("show", "Show the revision of the lists that is stored, and in force at each live entry") {
+    private val platform by PlatformOptions(connector)
+    private val export by option("--export", help = "Directory to write the stored lists to, secrets too")
+        .path(mustExist = true, canBeFile = false)
+
+    override fun run() {
+        val connection = platform.connect()
+        val stored = ListsStore(connection.store).read()
+            .getOrElse { fail(ExitCode.PLATFORM_SILENT, listOf(it.message)) }
+        val entries = connection.entryRevisions()
+            ?: fail(ExitCode.PLATFORM_SILENT, listOf("the list of instances cannot be had"))
+        export?.let { directory -> stored.writeTo(directory) }
+        report(ShowReport.serializer(), ShowReport(stored.lists?.revision ?: ListsRevision.None, entries)) { report ->
+            listOf("stored: revision ${report.storedRevision}") + report.entries.map { "$it" }
+        }
+    }
+
+    private fun StoredLists.writeTo(directory: Path) {
+        val current = lists ?: return
+        val plans = Yaml.default.encodeToString(ClientPlanList.serializer(), current.plans)
+        val models = Yaml.default.encodeToString(ModelList.serializer(), current.models)
+        Files.writeString(directory.resolve("plans.yaml"), plans)
+        Files.writeString(directory.resolve("models.yaml"), models)
+    }
+}
--- /dev/null
+++ b/operator/src/test/kotlin/io/quetzalfield/operator/ListsStoreTest.kt
@@ -0,0 +1,102 @@
+package io.quetzalfield.operator
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.quetzalfield.model.ClientPlanList
+import io.quetzalfield.model.ListsRevision
+import io.quetzalfield.model.ModelList
+import io.quetzalfield.model.OperatorLists
+import io.quetzalfield.model.Plan
+import io.quetzalfield.model.PlanId
+import io.quetzalfield.platform.KeyValueError
+import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.platform.LISTS_KEY
+import io.quetzalfield.platform.LeaseId
+import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.platform.StoreRevision
+import io.quetzalfield.platform.SwapResult
+import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class ListsStoreTest {
+    private val store = InMemoryKeyValueStore()
+    private val lists = ListsStore(store)
+    private val base = StoredLists(null, StoreRevision.Absent)
+
+    private fun listsAt(revision: Long, plan: String) =
+        OperatorLists(ListsRevision(revision), ClientPlanList(listOf(Plan(PlanId(plan), 0.5))), ModelList())
+
+    private fun writeAsAnother(written: OperatorLists) {
+        val former = store.read(LISTS_KEY).getOrNull()?.modified ?: StoreRevision.Absent
+        store.compareAndSwap(LISTS_KEY, former, PlatformJson.encodeToString(OperatorLists.serializer(), written))
+    }
+
+    @Nested
+    inner class Clashes {
+        @Test
+        fun `of two operators the second gets what the first wrote`() {
+            val first = listsAt(1, "a")
+            assertEquals(Unit.right(), lists.replace(base, first))
+            assertEquals(ApplyError.Clash(first).left(), lists.replace(base, listsAt(1, "b")))
+            assertEquals(first, lists.read().getOrNull()?.lists)
+        }
+    }
+
+    @Nested
+    inner class LostAnswers {
+        @Test
+        fun `a write whose answer is lost is found to have taken effect`() {
+            store.loseAnswers(1)
+            assertEquals(Unit.right(), lists.replace(base, listsAt(1, "a")))
+        }
+
+        @Test
+        fun `with every answer lost the outcome is not known`() {
+            store.loseAnswers(10)
+            assertIs<ApplyError.OutcomeUnknown>(lists.replace(base, listsAt(1, "a")).leftOrNull())
+        }
+
+        @Test
+        fun `a write that another operator has replaced since is not said to be unwritten`() {
+            val replaced = LosesOneAnswer(store) { writeAsAnother(listsAt(2, "b")) }
+            val result = ListsStore(replaced).replace(base, listsAt(1, "a"))
+            assertIs<ApplyError.OutcomeUnknown>(result.leftOrNull())
+        }
+
+        @Test
+        fun `a write that lost against another operator is a clash`() {
+            writeAsAnother(listsAt(1, "b"))
+            store.loseAnswers(1)
+            assertEquals(ApplyError.Clash(listsAt(1, "b")).left(), lists.replace(base, listsAt(1, "a")))
+        }
+
+        @Test
+        fun `while the store is down nothing is written`() {
+            store.isDown = true
+            assertIs<ApplyError.StoreFailed>(lists.replace(base, listsAt(1, "a")).leftOrNull())
+        }
+    }
+
+    /** Loses the answer of the first write and runs [meanwhile] after it. */
+    private class LosesOneAnswer(private val store: KeyValueStore, private val meanwhile: () -> Unit) :
+        KeyValueStore by store {
+        private var isLost = false
+
+        override fun compareAndSwap(
+            key: String,
+            expected: StoreRevision,
+            value: String,
+            lease: LeaseId?,
+        ): Either<KeyValueError, SwapResult> {
+            val result = store.compareAndSwap(key, expected, value, lease)
+            if (isLost) return result
+            isLost = true
+            meanwhile()
+            return KeyValueError.OutcomeUnknown("the answer is lost").left()
+        }
+    }
+}
--- /dev/null
+++ b/service-support/src/main/kotlin/io/quetzalfield/support/status/StatusSection.kt
@@ -0,0 +1,35 @@
+package io.quetzalfield.support.status
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+
+/**
+ * One part of a daemon's status, such as its leases. A part of a program that has something to show gives a section;
+ * the operator interface, the status page and `quetzalfield watch` then show it.
+ *
+ * @property name key of the section in the status.
+ */
+public interface StatusSection {
+    public val name: String
+
+    /** The state now. Called for each request of the status; must not wait for another process. */
+    public fun read(): JsonElement
+}
+
+/** A section named [name] that shows what [read] returns. */
+public fun <T> statusSection(name: String, serializer: KSerializer<T>, read: () -> T): StatusSection =
+    SerializedSection(name, serializer, read)
+
+/** What each section shows now, by its name. */
+public fun List<StatusSection>.readAll(): Map<String, JsonElement> = associate { it.name to it.read() }
+
+private class SerializedSection<T>(
+    override val name: String,
+    private val serializer: KSerializer<T>,
+    private val value: () -> T,
+) : StatusSection {
+    override fun read(): JsonElement = statusJson.encodeToJsonElement(serializer, value())
+}
+
+internal val statusJson: Json = Json { encodeDefaults = true }
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -14,6 +14,10 @@
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
 import io.quetzalfield.support.startHttpServer
+import io.quetzalfield.support.status.DaemonStatus
+import io.quetzalfield.support.status.StatusSection
+import io.quetzalfield.support.status.addStatusRoutes
+import io.quetzalfield.support.status.readAll
 import io.quetzalfield.support.writeMetrics
 import org.apache.logging.log4j.LogManager
 import java.util.UUID
@@ -33,6 +37,8 @@
         timeToLive = settings.leaseTimeToLive,
         margin = settings.leaseMargin,
     )
+    private val leases = listOf(lease).also { registerDuties(it, registry) }
+    private val sections: List<StatusSection> = listOf(dutiesSection(leases))
     private val server: Javalin = startOperatorServer()
     private val scheduler = newScheduler("steward")
 
@@ -47,19 +53,22 @@
     private fun startOperatorServer(): Javalin {
         val address = requireNotNull(HostPort.parse(settings.operatorAddress)) { "checked with the settings" }
         return startHttpServer(address.host, address.port) {
+            addStatusRoutes { DaemonStatus(InstanceKind.STEWARD, incarnation, sections = sections.readAll()) }
             get("/metrics") { writeMetrics(it, registry) }
             get("/health/live") { it.result("live") }
         }
     }
 
     private fun announce() {
+        val operatorAddress = "http://${HostPort.parse(settings.operatorAddress)?.host}:${server.port()}"
         directory.announce(
             ListedInstance(
                 id = settings.instance,
                 kind = InstanceKind.STEWARD,
-                address = "http://${HostPort.parse(settings.operatorAddress)?.host}:${server.port()}",
+                address = operatorAddress,
                 failureDomain = settings.failureDomain,
                 start = incarnation.start,
+                operatorAddress = operatorAddress,
             ),
         )
     }
