--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.entry
 
 import io.javalin.Javalin
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.decision.CheapestSufficientRouteChooser
 import io.quetzalfield.decision.LeastLoadedRunnerChooser
 import io.quetzalfield.model.Incarnation
@@ -82,7 +83,11 @@
     private val operatorServer: Javalin = startOperatorServer()
     private val scheduler = newScheduler("entry")
 
+    /** The metrics that the entry exposes. */
+    internal val registry: PrometheusRegistry get() = metrics.registry
+
     init {
+        registerEntryGauges(registry, gate, lists)
         fleet.refresh()
         announce(isLeaving = false)
         distribution.start()
--- a/service-support/src/main/kotlin/io/quetzalfield/support/PeriodicTasks.kt
+++ b/service-support/src/main/kotlin/io/quetzalfield/support/PeriodicTasks.kt
@@ -15,15 +15,29 @@
         Thread(task, "$name-scheduler").apply { isDaemon = true }
     }
 
-/** Runs [action] again and again, [period] after it has ended; a failure is logged and does not end the repetition. */
+/** Runs [action] again and again, [period] after it has ended; a failure does not end the repetition. */
 public fun ScheduledExecutorService.every(period: Duration, action: () -> Unit) {
-    val guarded = Runnable {
+    scheduleWithFixedDelay(GuardedTask(action, ::logChange), 0, period.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+}
+
+/** Runs [action]; tells [onChange] of the first failure after a success, and of the first success after a failure. */
+internal class GuardedTask(private val action: () -> Unit, private val onChange: (RuntimeException?) -> Unit) :
+    Runnable {
+    private var isFailing = false
+
+    override fun run() {
         @Suppress("TooGenericExceptionCaught") // Whatever fails once must not end the repetition.
-        try {
+        val error = try {
             action()
+            null
         } catch (error: RuntimeException) {
-            logger.error("a periodic task failed", error)
+            error
         }
+        if ((error != null) != isFailing) onChange(error)
+        isFailing = error != null
     }
-    scheduleWithFixedDelay(guarded, 0, period.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+}
+
+private fun logChange(error: RuntimeException?) {
+    if (error == null) logger.info("a periodic task works again") else logger.error("a periodic task fails", error)
 }
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -29,7 +29,9 @@
     private val directory: InstanceDirectory = HttpInstanceDirectory(settings.platformAddress),
 ) : AutoCloseable {
     private val incarnation = Incarnation(settings.instance, UUID.randomUUID().toString())
-    private val registry = PrometheusRegistry()
+
+    /** The metrics that the steward exposes. */
+    internal val registry: PrometheusRegistry = PrometheusRegistry()
     private val lease = DutyLease(
         store = store,
         name = "steward",
