--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
@@ -3,6 +3,8 @@
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.quetzalfield.model.InterruptionReason
+import io.quetzalfield.model.RefusalReason
 import io.quetzalfield.model.RequestFailure
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -52,6 +54,15 @@
         .labelNames("outcome")
         .register(registry)
 
+    init {
+        // Every reason shows from the start, so that an alarm on a rate sees the first one.
+        RefusalReason.entries.forEach { failures.initLabelValues(it.code) }
+        InterruptionReason.entries.forEach { failures.initLabelValues(it.code) }
+        RetryReason.entries.forEach { retries.initLabelValues(it.label) }
+        WitnessOutcome.entries.forEach { bills.initLabelValues(it.label) }
+        ForwardOutcome.entries.forEach { forwards.initLabelValues(it.label) }
+    }
+
     public fun countBill(outcome: WitnessOutcome) {
         bills.labelValues(outcome.label).inc()
     }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.entry
 
 import io.javalin.Javalin
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.decision.CheapestSufficientRouteChooser
 import io.quetzalfield.decision.LeastLoadedRunnerChooser
 import io.quetzalfield.model.Incarnation
@@ -36,8 +37,11 @@
     private val client = newClient()
     private val metrics = EntryMetrics()
     private val lists = ListsHolder()
-    private val fleet = FleetView(directory)
-    private val loads = RunnerLoadTracker(fleet, client)
+    private val ages = StateAges().also { it.register(metrics.registry) }
+    private val sessions = SessionCounts(metrics.registry)
+    private val journal = BoundedRequestJournal()
+    private val fleet = FleetView(directory, ages)
+    private val loads = RunnerLoadTracker(fleet, client, ages)
     private val gate = ShutdownGate()
     private val peers = PeerClients()
     private val scheduler = newScheduler("entry")
@@ -57,6 +61,7 @@
         fleet = fleet,
         peers = peers,
         store = store,
+        ages = ages,
     )
     private val decisionLists = CurrentLists(lists, distribution::isCurrent)
     private val completions = CompletionService(
@@ -68,6 +73,7 @@
         runners = RunnerClient(client),
         ledger = ledger,
         metrics = metrics,
+        journal = journal,
     )
     private val services = ServiceCallService(incarnation, ServiceClient(fleet, client), store)
     private val sessionTokens = SignedTokens("session", SessionPin.serializer())
@@ -91,11 +97,29 @@
         addressValidity = settings.addressValidity,
         metrics = metrics,
         gate = gate,
+        sessions = sessions,
+    )
+    private val status = EntryStatus(
+        incarnation = incarnation,
+        lists = lists,
+        journal = journal,
+        sections = listOf(
+            agesSection(ages),
+            requestsSection(gate),
+            versionsSection(lists),
+            sessionsSection(sessions),
+            billsSection(lists, ledger),
+        ),
     )
     private val peerServer = startPeerServer()
     private val server: Javalin = startCallerServer()
+    private val operatorServer: Javalin = startOperatorServer()
+
+    /** The metrics that the entry exposes. */
+    internal val registry: PrometheusRegistry get() = metrics.registry
 
     init {
+        registerEntryGauges(registry, gate, lists)
         fleet.refresh()
         announce(isLeaving = false)
         scheduler.every(settings.listRefresh) {
@@ -115,6 +139,10 @@
     /** The revision of the lists in force. */
     public val listsRevision: ListsRevision get() = lists.revision
 
+    /** The address at which operators are answered. */
+    public val operatorAddress: String
+        get() = "http://${HostPort.parse(settings.operatorAddress)?.host}:${operatorServer.port()}"
+
     private val peerAddress: String
         get() = "${HostPort.parse(settings.peerAddress)?.host}:${peerServer.port}"
 
@@ -126,6 +154,16 @@
         }
     }
 
+    private fun startOperatorServer(): Javalin {
+        val address = requireNotNull(HostPort.parse(settings.operatorAddress)) { "checked with the settings" }
+        return startHttpServer(
+            host = address.host,
+            port = address.port,
+            threads = OPERATOR_THREADS,
+            routes = OperatorApi(status, metrics)::addRoutes,
+        )
+    }
+
     private fun startPeerServer(): PeerServer {
         val address = requireNotNull(HostPort.parse(settings.peerAddress)) { "checked with the settings" }
         val peerService = EntryPeerService(
@@ -147,6 +185,7 @@
                 peerAddress = peerAddress,
                 isLeaving = isLeaving,
                 start = incarnation.start,
+                operatorAddress = operatorAddress,
             ),
         )
     }
@@ -166,12 +205,14 @@
         distribution.close()
         directory.remove(settings.instance)
         server.stop()
+        operatorServer.stop()
         peerServer.close()
         peers.close()
         logger.info("entry {} has stopped, {}", incarnation, if (isDrained) "drained" else "with requests running")
     }
 
     private companion object {
+        const val OPERATOR_THREADS = 32
         const val LARGEST_CONCURRENCY = 4_096
         const val IDLE_CONNECTIONS = 256
         const val KEEP_ALIVE_MINUTES = 5L
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -23,6 +23,10 @@
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
 import io.quetzalfield.support.startHttpServer
+import io.quetzalfield.support.status.DaemonStatus
+import io.quetzalfield.support.status.StatusSection
+import io.quetzalfield.support.status.addStatusRoutes
+import io.quetzalfield.support.status.readAll
 import io.quetzalfield.support.writeMetrics
 import org.apache.logging.log4j.LogManager
 import java.util.UUID
@@ -34,21 +38,22 @@
     private val directory: InstanceDirectory = HttpInstanceDirectory(settings.platformAddress),
 ) : AutoCloseable {
     private val incarnation = Incarnation(settings.instance, UUID.randomUUID().toString())
-    private val registry = PrometheusRegistry()
     private val peers = PeerClients()
 
+    /** The metrics that the steward exposes. */
+    internal val registry: PrometheusRegistry = PrometheusRegistry()
+
     @Volatile
     private var stewards: List<ListedInstance> = emptyList()
-    private val roster = DutyRoster(
-        leases = listOf(BILL_DUTY).associateWith(::newLease),
-        rank = ::rankFor,
-        patience = settings.leaseTimeToLive,
-    )
+    private val leases = listOf(BILL_DUTY).associateWith(::newLease)
+    private val roster = DutyRoster(leases, rank = ::rankFor, patience = settings.leaseTimeToLive)
     private val billDuty = newBillDuty()
+    private val sections: List<StatusSection> = listOf(dutiesSection(leases.values))
     private val server: Javalin = startOperatorServer()
     private val scheduler = newScheduler("steward")
 
     init {
+        registerDuties(leases.values, registry)
         scheduler.every(settings.dutyPeriod) {
             announce()
             stewards = directory.instances().getOrNull().orEmpty().filter { it.kind == InstanceKind.STEWARD }
@@ -88,19 +93,22 @@
     private fun startOperatorServer(): Javalin {
         val address = requireNotNull(HostPort.parse(settings.operatorAddress)) { "checked with the settings" }
         return startHttpServer(address.host, address.port) {
+            addStatusRoutes { DaemonStatus(InstanceKind.STEWARD, incarnation, sections = sections.readAll()) }
             get("/metrics") { writeMetrics(it, registry) }
             get("/health/live") { it.result("live") }
         }
     }
 
     private fun announce() {
+        val operatorAddress = "http://${HostPort.parse(settings.operatorAddress)?.host}:${server.port()}"
         directory.announce(
             ListedInstance(
                 id = settings.instance,
                 kind = InstanceKind.STEWARD,
-                address = "http://${HostPort.parse(settings.operatorAddress)?.host}:${server.port()}",
+                address = operatorAddress,
                 failureDomain = settings.failureDomain,
                 start = incarnation.start,
+                operatorAddress = operatorAddress,
             ),
         )
     }
