--- a/decision/src/main/kotlin/io/quetzalfield/decision/RunnerChooser.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/RunnerChooser.kt
@@ -2,6 +2,7 @@
 
 import io.quetzalfield.model.FailureDomainId
 import io.quetzalfield.model.ModelVersionReference
+import io.quetzalfield.model.RequestPriority
 import io.quetzalfield.model.RunnerId
 
 /**
@@ -20,14 +21,23 @@
     val reportedRequests: Int = 0,
     val sentSinceReport: Int = 0,
     val cachedPrefixes: Set<Long> = emptySet(),
-)
+) {
+    /** Requests that are expected on the runner now: the lagging report, corrected by what was sent and ended since. */
+    val expectedRequests: Int get() = (reportedRequests + sentSinceReport).coerceAtLeast(0)
+}
 
-/** What a runner is chosen for. */
+/**
+ * What a runner is chosen for.
+ *
+ * @property prefixHash hash of the prompt's prefix, by which engines reuse cached work.
+ * @property excluded runners that must not be taken, such as those that were tried before.
+ */
 public data class RunnerRequest(
     val version: ModelVersionReference,
     val ownFailureDomain: FailureDomainId,
     val prefixHash: Long? = null,
     val excluded: Set<RunnerId> = emptySet(),
+    val priority: RequestPriority = RequestPriority.NORMAL,
 )
 
 /** Chooses the runner for one attempt. */
@@ -42,7 +52,7 @@
         .filter { request.version in it.versions && it.id !in request.excluded }
         .minWithOrNull(
             compareBy(
-                { (it.reportedRequests + it.sentSinceReport).toDouble() / it.slots },
+                { it.expectedRequests.toDouble() / it.slots },
                 { it.failureDomain != request.ownFailureDomain },
                 { it.id.value },
             ),
--- /dev/null
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/RunnerSubset.kt
@@ -0,0 +1,17 @@
+package io.quetzalfield.decision
+
+import io.quetzalfield.model.InstanceId
+
+/** How many runners of one model version an entry follows by default. */
+public const val DEFAULT_SUBSET_SIZE: Int = 64
+
+/**
+ * The runners of one pool that [entry] follows: the first [size] in the entry's own rendezvous order. Entries get
+ * different subsets, and a runner that comes or goes changes few of them.
+ */
+public fun <T> runnerSubset(
+    entry: InstanceId,
+    runners: Collection<T>,
+    size: Int = DEFAULT_SUBSET_SIZE,
+    name: (T) -> String,
+): List<T> = if (runners.size <= size) runners.toList() else rendezvousOrder(entry.value, runners, name).take(size)
--- /dev/null
+++ b/decision/src/test/kotlin/io/quetzalfield/decision/PrefixCacheTrackerTest.kt
@@ -0,0 +1,42 @@
+package io.quetzalfield.decision
+
+import io.quetzalfield.model.RunnerId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+class PrefixCacheTrackerTest {
+    private val time = TestTimeSource()
+    private val tracker = PrefixCacheTracker(PrefixCacheTrust(capacity = 3), time)
+    private val runner = RunnerId("runner-1")
+
+    private fun note(vararg changes: PrefixCacheChange): Set<Long> {
+        tracker.note(runner, changes.toList())
+        return tracker.prefixes(runner)
+    }
+
+    private fun stored(sequence: Long, prefix: Long) = PrefixCacheChange(sequence, prefix, isStored = true)
+
+    private fun evicted(sequence: Long, prefix: Long) = PrefixCacheChange(sequence, prefix, isStored = false)
+
+    @Test
+    fun `a late change does not undo a newer one`() {
+        assertEquals(emptySet(), note(evicted(2, 10)))
+        assertEquals(emptySet(), note(stored(1, 10)))
+        assertEquals(setOf(10L), note(stored(3, 10)))
+    }
+
+    @Test
+    fun `after a gap the prefixes known before are soon forgotten`() {
+        note(stored(1, 10))
+        note(stored(5, 20))
+        time += 31.seconds
+        assertEquals(setOf(20L), note())
+    }
+
+    @Test
+    fun `the memory is bounded`() {
+        assertEquals(setOf(2L, 3L, 4L), note(stored(1, 1), stored(2, 2), stored(3, 3), stored(4, 4)))
+    }
+}
