Guard what runs: admission, retry budget, crash isolation, resumed streams and roll-outs

Cause: the entry admitted everything, retried up to twice without a budget, gave a request that crashes runners a new runner each time, dropped an answer whose stream was cut, and never handed answers in to be rated. After an attempt that may have run, a refusal by the next runner was reported as "not run", which was untrue. One frozen runner held up the load reports of all.

Ruled out: polling runners one after another with a shorter timeout (still one second of stale loads per frozen runner); spending the retry budget on runner losses (a lost runner with more than ten requests left innocents without their retry).

Change: CompletionAttempts holds the attempts of one run, with EntryControl behind it: RequestAdmission before the route, CrashGuard with isolated runs and the exchange of fingerprints before a suspect's second run, RetryBudget, resume by offset where the engine says it can, RatingPipeline with a bounded queue, RolloutMonitor that stops a version here first and tells the peers. Runners are polled without waiting, in a subset per version, with their cache events. The steward's RolloutDuty advances, stops and rolls back by one compare-and-swap under its own lease, with the step's record in the store. The stand-in runner publishes cache events late and with gaps, reports its start and that it can resume. SUSPECT_RUNS_ELSEWHERE is a new reason for refusal.

Figures: with six embedded runners one crashing request, asked six times, costs two runners; 24 innocent requests beside it on five runners all get their whole answers.

--- a/decision/src/main/kotlin/io/quetzalfield/decision/CrashQuarantine.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CrashQuarantine.kt
@@ -48,7 +48,8 @@
  * @property suspectFor time after which a suspect that no one cleared or convicted is tried again as a suspect here.
  * @property clearedFor time for which a clearance is passed on.
  * @property quarantinedFor time for which a fingerprint stays refused.
- * @property sameCrash time within which losses of one runner count as one crash.
+ * @property sameCrash time within which losses of one runner, or one that a peer reports beside an own one, count as
+ * one crash.
  */
 public data class QuarantineTimes(
     val suspectFor: Duration = 2.minutes,
@@ -108,11 +109,11 @@
     public fun noteCrash(fingerprint: RequestFingerprint, runner: RunnerId): Unit = inShard(fingerprint) { records ->
         val record = records[fingerprint]?.takeUnless(::isForgotten)
             ?: Record(0, timeSource.markNow(), own).also { records[fingerprint] = it }
-        val isSameCrash = record.lastRunner == runner && record.changed.elapsedNow() < times.sameCrash
+        val isSameCrash = isSameCrash(record, runner)
         if (!isSameCrash || record.crashes == 0) record.crashes++
+        record.holder = if (isSameCrash) minOf(record.holder, own, compareBy(InstanceId::value)) else own
         record.changed = timeSource.markNow()
         record.lastRunner = runner
-        record.holder = own
         record.isRunning = false
     }
 
@@ -185,6 +186,10 @@
         known.holder = sender
     }
 
+    /** Whether [record] counts the loss of [runner] already; a peer's report does not name the runner. */
+    private fun isSameCrash(record: Record, runner: RunnerId): Boolean =
+        (record.lastRunner == null || record.lastRunner == runner) && record.changed.elapsedNow() < times.sameCrash
+
     private fun isHeldElsewhere(record: Record): Boolean =
         record.holder != own && record.changed.elapsedNow() < times.suspectFor
 
--- a/decision/src/test/kotlin/io/quetzalfield/decision/CrashQuarantineTest.kt
+++ b/decision/src/test/kotlin/io/quetzalfield/decision/CrashQuarantineTest.kt
@@ -76,6 +76,15 @@
             assertEquals(listOf(CrashVerdict.ISOLATED, CrashVerdict.BUSY_ELSEWHERE), verdicts(poison))
         }
 
+        @Test
+        fun `a crash that a peer reported first counts once`() {
+            first.noteCrash(innocent, RunnerId("runner-1"))
+            gossip()
+            second.noteCrash(innocent, RunnerId("runner-1"))
+            gossip()
+            assertEquals(listOf(CrashVerdict.ISOLATED, CrashVerdict.BUSY_ELSEWHERE), verdicts(innocent))
+        }
+
         @Test
         fun `a quarantine holds everywhere`() {
             repeat(2) { first.noteCrash(poison, RunnerId("runner-$it")) }
--- a/decision/src/test/kotlin/io/quetzalfield/decision/RolloutTestTest.kt
+++ b/decision/src/test/kotlin/io/quetzalfield/decision/RolloutTestTest.kt
@@ -97,11 +97,11 @@
 
     @Nested
     inner class Plan {
-        private val plan = RolloutPlan()
+        private val steps = RolloutPlan()
         private val harm = RolloutVerdict.Harmful(StopCause.RATINGS, 9.0)
 
         private fun next(share: Double, age: Duration, rated: Long, verdict: RolloutVerdict = RolloutVerdict.Healthy) =
-            plan.next(RolloutProgress(share, age, rated), verdict)
+            steps.next(RolloutProgress(share, age, rated), verdict)
 
         @Test
         fun `steps advance, stall, roll back and stop`() {
--- a/entry/src/main/kotlin/io/quetzalfield/entry/AnswerAssembler.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/AnswerAssembler.kt
@@ -12,6 +12,8 @@
 import okhttp3.Response
 import okhttp3.sse.EventSource
 import okhttp3.sse.EventSourceListener
+import java.io.IOException
+import java.io.InterruptedIOException
 
 /** Ends the reading of a stream that is at fault. */
 private class BrokenStreamException(message: String) : RuntimeException(message)
@@ -29,6 +31,8 @@
     private var hasEnded = false
     private var fault: String? = null
     private var callerGone: CallerGoneException? = null
+    private var isBroken = false
+    private var isLate = false
 
     override fun onEvent(eventSource: EventSource, id: String?, type: String?, data: String) {
         if (fault != null) return
@@ -48,6 +52,8 @@
 
     override fun onFailure(eventSource: EventSource, t: Throwable?, response: Response?) {
         if (t is CallerGoneException) callerGone = t
+        if (t is InterruptedIOException) isLate = true
+        if (t is IOException) isBroken = true
         if (fault == null) fault = "the stream broke: ${t?.message}"
     }
 
@@ -62,7 +68,9 @@
             total.completionTokens != nextOffset -> "$nextOffset tokens of ${total.completionTokens} arrived"
             else -> return AttemptResult.Complete(total, reason)
         }
-        return AttemptResult.Failed(MayHaveRun(InterruptionReason.ANSWER_INCOMPLETE, problem.orEmpty()))
+        val interruption = if (isLate) InterruptionReason.DEADLINE_PASSED else InterruptionReason.ANSWER_INCOMPLETE
+        val isCut = !isLate && (isBroken || !hasEnded)
+        return AttemptResult.Failed(MayHaveRun(interruption, problem.orEmpty()), isCut = isCut)
     }
 
     private fun accept(chunk: ChatCompletionChunk) {
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
@@ -4,17 +4,11 @@
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
+import io.quetzalfield.decision.Admitted
 import io.quetzalfield.decision.Route
 import io.quetzalfield.decision.RouteChooser
 import io.quetzalfield.decision.RouteRequest
-import io.quetzalfield.decision.RunnerChooser
-import io.quetzalfield.decision.RunnerRequest
-import io.quetzalfield.decision.RunnerView
-import io.quetzalfield.decision.checkPermission
-import io.quetzalfield.model.AttemptId
 import io.quetzalfield.model.ClientAccount
-import io.quetzalfield.model.FailureDomainId
-import io.quetzalfield.model.InstanceId
 import io.quetzalfield.model.ListsSnapshot
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.NotRun
@@ -23,14 +17,8 @@
 import io.quetzalfield.model.RequestFailure
 import io.quetzalfield.model.RequestId
 import io.quetzalfield.model.RequestKey
-import io.quetzalfield.model.RunnerId
 import io.quetzalfield.platform.engine.ChatCompletionRequest
-import io.quetzalfield.platform.engine.StreamOptions
 import io.quetzalfield.platform.engine.TokenUsage
-import java.util.UUID
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 
 /**
@@ -68,45 +56,26 @@
 )
 
 /** Decides, sends, retries, checks and bills completions. */
-public class CompletionService(
-    private val ownFailureDomain: FailureDomainId,
+public class CompletionService internal constructor(
     private val routeChooser: RouteChooser,
-    private val runnerChooser: RunnerChooser,
-    private val loads: RunnerLoadTracker,
-    private val fleet: FleetView,
-    private val runners: RunnerClient,
+    private val admission: RequestAdmission,
+    private val attempts: CompletionAttempts,
+    private val rollouts: RolloutMonitor,
+    private val answers: AnswerObserver,
     private val ledger: BillLedger,
     private val metrics: EntryMetrics,
     private val journal: RequestJournal = RequestJournal.None,
     private val timeSource: TimeSource = TimeSource.Monotonic,
 ) {
-    /** One run of a completion: what was sent to the caller and which runners were tried. */
-    private inner class Run(val call: CompletionCall, val version: ModelVersionReference, val sink: CompletionSink) {
-        val started: TimeMark = timeSource.markNow()
-        val deadline: Duration = call.plan.deadlineMilliseconds.milliseconds
-        val tried = mutableSetOf<RunnerId>()
-        var tokensSent = 0
-        var untilFirstToken: Duration? = null
-
-        fun onToken(text: String) {
-            if (tokensSent == 0) {
-                untilFirstToken = started.elapsedNow()
-                sink.onStart(version)
-            }
-            tokensSent++
-            sink.onToken(text)
-        }
-    }
-
     /** Chooses the version that a new session is to keep. */
     public fun chooseRoute(request: RouteRequest, snapshot: ListsSnapshot): Either<NotRun, Route> =
-        routeChooser.choose(request, snapshot, emptySet())
+        routeChooser.choose(request, snapshot, rollouts.stoppedVersions(snapshot))
 
     /** Runs [call]; the answer goes to [sink] as it comes. */
     public fun complete(call: CompletionCall, sink: CompletionSink): Either<RequestFailure, CompletionReport> =
         received(call)
-            .flatMap(::chooseVersion)
-            .flatMap { version -> runAttempts(Run(call, version, sink)) }
+            .flatMap(admission::admit)
+            .flatMap { admitted -> runAdmitted(call, admitted, sink) }
             .onLeft { failure -> noteFailure(call, failure) }
 
     private fun received(call: CompletionCall): Either<RequestFailure, CompletionCall> {
@@ -126,66 +95,44 @@
         journal.record(call.id, RequestEvent.Failed(failure))
     }
 
-    private fun chooseVersion(call: CompletionCall): Either<RequestFailure, ModelVersionReference> {
-        val pin = call.pin
-        val route = if (pin ==
-            null
-        ) {
-            chooseRoute(call.route, call.snapshot)
-        } else {
-            Route(listOf(pin.version), emptyList()).right()
-        }
-        return route
-            .onRight { journal.record(call.id, RequestEvent.Decided(it.stages, it.considered, isPinned = pin != null)) }
-            .map { it.stages.first() }
-    }
-
-    private fun runAttempts(run: Run): Either<RequestFailure, CompletionReport> {
-        var lastFailure: RequestFailure = NotRun(RefusalReason.NO_RUNNER, "no runner serves ${run.version}")
-        repeat(MAXIMUM_ATTEMPTS) {
-            val runner = chooseRunner(run) ?: return lastFailure.left()
-            val refusal = checkPermission(run.call.snapshot, run.call.plan.id, run.version, run.call.pin != null)
-            if (refusal != null) return refusal.left()
-            when (val result = attempt(run, runner)) {
-                is AttemptResult.Complete -> return bill(run, result).right()
-
-                is AttemptResult.Failed -> {
-                    lastFailure = result.failure
-                    if (result.isLeaving) fleet.markLeaving(InstanceId(runner.id.value))
-                    if (run.tokensSent > 0) return lastFailure.left()
-                    noteRetry(run, retryReason(result.failure))
+    private fun runAdmitted(
+        call: CompletionCall,
+        admitted: Admitted,
+        sink: CompletionSink,
+    ): Either<RequestFailure, CompletionReport> {
+        var tokens = 0
+        try {
+            return chooseVersion(call).flatMap { version ->
+                val run = CompletionRun(call, version, sink, timeSource)
+                try {
+                    attempts.run(run).map { bill(run, it) }
+                } finally {
+                    tokens = run.tokensSent
                 }
             }
+        } catch (error: CallerGoneException) {
+            metrics.countCallerGone()
+            throw error
+        } finally {
+            admitted.finish(tokens)
         }
-        return lastFailure.left()
     }
 
-    private fun noteRetry(run: Run, reason: RetryReason) {
-        metrics.countRetry(reason)
-        journal.record(run.call.id, RequestEvent.Retried(reason))
+    private fun chooseVersion(call: CompletionCall): Either<RequestFailure, ModelVersionReference> {
+        val pin = call.pin
+        val route = if (pin == null) chooseRoute(call.route, call.snapshot) else pinnedRoute(pin, call.snapshot)
+        return route
+            .onRight { journal.record(call.id, RequestEvent.Decided(it.stages, it.considered, isPinned = pin != null)) }
+            .map { it.stages.first() }
     }
 
-    private fun chooseRunner(run: Run): RunnerView? =
-        runnerChooser.choose(RunnerRequest(run.version, ownFailureDomain, excluded = run.tried), loads.views())
-
-    private fun attempt(run: Run, runner: RunnerView): AttemptResult {
-        run.tried += runner.id
-        val request = run.call.body.copy(
-            model = run.version.toString(),
-            stream = true,
-            streamOptions = StreamOptions(includeUsage = true),
-        )
-        val attempt = AttemptId(UUID.randomUUID().toString())
-        val timeLeft = run.deadline - run.started.elapsedNow()
-        journal.record(run.call.id, RequestEvent.AttemptSent(attempt, runner.id, run.version))
-        val result = loads.track(runner.id) { runners.stream(runner, attempt, request, timeLeft, run::onToken) }
-        if (result is AttemptResult.Failed) {
-            journal.record(run.call.id, RequestEvent.AttemptFailed(attempt, result.failure))
-        }
-        return result
+    private fun pinnedRoute(pin: SessionPin, snapshot: ListsSnapshot): Either<NotRun, Route> {
+        if (pin.version !in rollouts.stoppedVersions(snapshot)) return Route(listOf(pin.version), emptyList()).right()
+        val message = "${pin.version} was stopped, as it is worse than the version before; open a new session"
+        return NotRun(RefusalReason.VERSION_WITHDRAWN, message).left()
     }
 
-    private fun bill(run: Run, result: AttemptResult.Complete): CompletionReport {
+    private fun bill(run: CompletionRun, result: AttemptResult.Complete): CompletionReport {
         val costPerThousandTokens = run.call.snapshot.version(run.version)?.costPerThousandTokens ?: 0.0
         val tokens = result.usage.completionTokens.toLong()
         val priceMicros = Math.round(tokens * costPerThousandTokens * MICROS_PER_UNIT / TOKENS_PER_PRICE)
@@ -194,17 +141,11 @@
         journal.record(run.call.id, RequestEvent.Billed(priceMicros, isBilled))
         val elapsed = run.started.elapsedNow()
         metrics.countAnswer(run.version.toString(), run.untilFirstToken ?: elapsed, elapsed)
+        answers.onAnswer(run, result.usage.completionTokens, elapsed)
         return CompletionReport(run.version, result.usage, result.finishReason, priceMicros, isBilled)
     }
 
-    private fun retryReason(failure: RequestFailure): RetryReason = when (failure.reason) {
-        RefusalReason.RUNNER_REFUSED.code -> RetryReason.RUNNER_REFUSED
-        RefusalReason.NO_RUNNER.code -> RetryReason.RUNNER_UNREACHABLE
-        else -> if (failure is NotRun) RetryReason.RUNNER_REFUSED else RetryReason.ANSWER_INCOMPLETE
-    }
-
     private companion object {
-        const val MAXIMUM_ATTEMPTS = 3
         const val MICROS_PER_UNIT = 1_000_000
         const val TOKENS_PER_PRICE = 1_000
     }
--- /dev/null
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
@@ -0,0 +1,110 @@
+package io.quetzalfield.entry
+
+import io.quetzalfield.decision.AdmissionControl
+import io.quetzalfield.decision.AllowanceShare
+import io.quetzalfield.decision.CrashQuarantine
+import io.quetzalfield.decision.ExpectedFinishRunnerChooser
+import io.quetzalfield.decision.RetryBudget
+import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.FailureDomainId
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.ListsRevision
+import io.quetzalfield.model.ModelId
+import io.quetzalfield.model.ModelVersionReference
+import io.quetzalfield.model.VersionId
+import io.quetzalfield.peer.PeerClients
+import io.quetzalfield.peer.wire.FingerprintList
+import io.quetzalfield.peer.wire.ObservationsReply
+import io.quetzalfield.peer.wire.VersionStop
+import io.quetzalfield.platform.Rating
+import io.quetzalfield.platform.RatingService
+import io.quetzalfield.support.every
+import io.quetzalfield.support.newScheduler
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The part of each account's allowance that an entry has when the live entries share it evenly. */
+internal class EvenAllowanceShare(private val lists: ListsHolder, private val fleet: FleetView) : AllowanceShare {
+    override fun tokensPerMinute(account: ClientAccountId): Double {
+        val allowance = lists.snapshot.account(account)?.tokensPerMinute ?: 0
+        return allowance.toDouble() / fleet.entries.size.coerceAtLeast(1)
+    }
+}
+
+/** The parts of an entry that guard what runs: admission, retries, crash suspects and roll-outs. */
+internal class EntryControl(
+    private val incarnation: Incarnation,
+    lists: ListsHolder,
+    private val fleet: FleetView,
+    private val loads: RunnerLoadTracker,
+    peers: PeerClients,
+    private val metrics: EntryMetrics,
+    ratingService: RatingService,
+    allowance: AllowanceShare = EvenAllowanceShare(lists, fleet),
+    onRating: (Rating) -> Unit = {},
+) : AutoCloseable {
+    private val scheduler = newScheduler("control")
+    private val quarantine = CrashQuarantine(incarnation.instance)
+    private val exchange = FingerprintExchange(incarnation, quarantine, fleet, peers)
+    private val guard = CrashGuard(incarnation.instance, quarantine, exchange, fleet, metrics)
+    private val observations = ObservationBook()
+    private val answerTimes = AnswerTimes()
+    private val ratings = RatingPipeline(
+        service = ratingService,
+        metrics = metrics,
+        onOwnRating = { observations.noteRating(it.source, it.passed) },
+        onRating = onRating,
+    )
+    val admission = RequestAdmission(AdmissionControl(allowance), loads, answerTimes)
+    val rollouts = RolloutMonitor(lists, observations, PeerObservations(incarnation, fleet, peers), metrics)
+    val answers = AnswerObserver(answerTimes, observations, ratings)
+
+    fun attempts(
+        ownFailureDomain: FailureDomainId,
+        runners: RunnerClient,
+        journal: RequestJournal = RequestJournal.None,
+    ): CompletionAttempts = CompletionAttempts(
+        ownFailureDomain = ownFailureDomain,
+        runnerChooser = ExpectedFinishRunnerChooser(),
+        loads = loads,
+        fleet = fleet,
+        runners = runners,
+        guard = guard,
+        retryBudget = RetryBudget(),
+        observations = observations,
+        metrics = metrics,
+        journal = journal,
+    )
+
+    /** Starts the periodic tasks; they have threads of their own, as a slow rating service may hold them up. */
+    fun start() {
+        scheduler.every(RATING_PERIOD, ratings::handIn)
+        scheduler.every(RATING_PERIOD, ratings::readRatings)
+        scheduler.every(ROLLOUT_PERIOD, rollouts::check)
+        scheduler.every(FINGERPRINT_PERIOD, exchange::exchangeWithNext)
+    }
+
+    fun answerFingerprints(request: FingerprintList): FingerprintList {
+        val reply = exchange.answer(request)
+        metrics.setQuarantined(quarantine.quarantinedCount)
+        return reply
+    }
+
+    fun answerObservations(): ObservationsReply = observations.toReply(incarnation)
+
+    fun learnStop(stop: VersionStop) {
+        val version = ModelVersionReference(ModelId(stop.model), VersionId(stop.version))
+        rollouts.learnStop(version, stop.reason, ListsRevision(stop.listsRevision))
+    }
+
+    override fun close() {
+        scheduler.shutdownNow()
+        exchange.close()
+    }
+
+    private companion object {
+        val RATING_PERIOD: Duration = 250.milliseconds
+        val ROLLOUT_PERIOD: Duration = 250.milliseconds
+        val FINGERPRINT_PERIOD: Duration = 500.milliseconds
+    }
+}
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.entry
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.model.RequestFailure
@@ -13,6 +14,15 @@
     RUNNER_UNREACHABLE("runner_unreachable"),
     ANSWER_INCOMPLETE("answer_incomplete"),
     CONNECTION_LOST("connection_lost"),
+    RUNNER_CRASHED("runner_crashed"),
+    RESUMED("resumed"),
+}
+
+/** Why no attempt followed a failed one that could have been repeated. */
+public enum class RetryObstacle(public val label: String) {
+    BUDGET("budget"),
+    DEADLINE("deadline"),
+    CANNOT_RESUME("cannot_resume"),
 }
 
 /** The counters and histograms of an entry. */
@@ -41,6 +51,65 @@
         .help("Time from the request to the end of the answer")
         .register(registry)
 
+    private val refusedRetries = Counter.builder()
+        .name("quetzalfield_retries_refused_total")
+        .help("Failed attempts that were not followed by another, by reason")
+        .labelNames("reason")
+        .register(registry)
+    private val runnerCrashes = Counter.builder()
+        .name("quetzalfield_runner_crashes_total")
+        .help("Requests that lost their runner by a crash")
+        .register(registry)
+    private val isolatedRuns = Counter.builder()
+        .name("quetzalfield_isolated_runs_total")
+        .help("Runs of requests that are suspected of crashing runners")
+        .register(registry)
+    private val quarantined = Gauge.builder()
+        .name("quetzalfield_quarantined_fingerprints")
+        .help("Fingerprints of requests that are refused as they crash runners")
+        .register(registry)
+    private val callersGone = Counter.builder()
+        .name("quetzalfield_callers_gone_total")
+        .help("Attempts that were cancelled because the caller had gone")
+        .register(registry)
+    private val ratingsDropped = Counter.builder()
+        .name("quetzalfield_ratings_dropped_total")
+        .help("Answers that were not handed in to be rated because the queue was full")
+        .register(registry)
+    private val versionStops = Counter.builder()
+        .name("quetzalfield_version_stops_total")
+        .help("Versions stopped ahead of the lists, by where the stop came from")
+        .labelNames("origin")
+        .register(registry)
+
+    public fun countRetryRefused(obstacle: RetryObstacle) {
+        refusedRetries.labelValues(obstacle.label).inc()
+    }
+
+    public fun countRunnerCrash() {
+        runnerCrashes.inc()
+    }
+
+    public fun countIsolatedRun() {
+        isolatedRuns.inc()
+    }
+
+    public fun setQuarantined(count: Int) {
+        quarantined.set(count.toDouble())
+    }
+
+    public fun countCallerGone() {
+        callersGone.inc()
+    }
+
+    public fun countRatingDropped() {
+        ratingsDropped.inc()
+    }
+
+    public fun countVersionStop(origin: String) {
+        versionStops.labelValues(origin).inc()
+    }
+
     public fun countFailure(failure: RequestFailure) {
         failures.labelValues(failure.reason).inc()
     }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -2,7 +2,7 @@
 
 import io.javalin.Javalin
 import io.quetzalfield.decision.CheapestSufficientRouteChooser
-import io.quetzalfield.decision.LeastLoadedRunnerChooser
+import io.quetzalfield.decision.RolloutRouteChooser
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
@@ -10,8 +10,10 @@
 import io.quetzalfield.peer.PeerServer
 import io.quetzalfield.platform.EtcdGatewayKeyValueStore
 import io.quetzalfield.platform.HttpInstanceDirectory
+import io.quetzalfield.platform.HttpRatingService
 import io.quetzalfield.platform.InstanceDirectory
 import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.platform.RatingService
 import io.quetzalfield.support.HostPort
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
@@ -30,25 +32,26 @@
     private val settings: EntrySettings,
     store: KeyValueStore = EtcdGatewayKeyValueStore(settings.platformAddress),
     private val directory: InstanceDirectory = HttpInstanceDirectory(settings.platformAddress),
+    ratingService: RatingService = HttpRatingService(settings.platformAddress),
 ) : AutoCloseable {
     private val incarnation = Incarnation(settings.instance, UUID.randomUUID().toString())
     private val client = newClient()
     private val metrics = EntryMetrics()
     private val lists = ListsHolder()
     private val fleet = FleetView(directory)
-    private val loads = RunnerLoadTracker(fleet, client)
+    private val loads = RunnerLoadTracker(settings.instance, fleet, client)
     private val ledger = BillLedger(incarnation, store)
     private val gate = ShutdownGate()
     private val peers = PeerClients()
+    private val control = EntryControl(incarnation, lists, fleet, loads, peers, metrics, ratingService)
     private val peerServer = startPeerServer()
     private val distribution = ListsDistribution(incarnation, lists, fleet, peers, store)
     private val completions = CompletionService(
-        ownFailureDomain = settings.failureDomain,
-        routeChooser = CheapestSufficientRouteChooser(),
-        runnerChooser = LeastLoadedRunnerChooser,
-        loads = loads,
-        fleet = fleet,
-        runners = RunnerClient(client),
+        routeChooser = RolloutRouteChooser(CheapestSufficientRouteChooser()),
+        admission = control.admission,
+        attempts = control.attempts(settings.failureDomain, RunnerClient(client)),
+        rollouts = control.rollouts,
+        answers = control.answers,
         ledger = ledger,
         metrics = metrics,
     )
@@ -75,6 +78,7 @@
         scheduler.every(settings.listRefresh, distribution::exchangeWithPeers)
         scheduler.every(settings.loadRefresh, loads::refresh)
         scheduler.every(settings.billFlush, ledger::flush)
+        control.start()
         logger.info("entry {} serves callers at {} and peers at {}", incarnation, callerAddress, peerAddress)
     }
 
@@ -95,7 +99,7 @@
 
     private fun startPeerServer(): PeerServer {
         val address = requireNotNull(HostPort.parse(settings.peerAddress)) { "checked with the settings" }
-        return PeerServer(address.host, address.port, EntryPeerService(lists))
+        return PeerServer(address.host, address.port, EntryPeerService(lists, control))
     }
 
     private fun announce(isLeaving: Boolean) {
@@ -125,6 +129,7 @@
         ledger.flush()
         scheduler.shutdownNow()
         distribution.close()
+        control.close()
         directory.remove(settings.instance)
         server.stop()
         peerServer.close()
--- a/entry/src/main/kotlin/io/quetzalfield/entry/FleetView.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/FleetView.kt
@@ -49,6 +49,9 @@
         listed.firstOrNull { it.id == id }?.let { leaving += it.run }
     }
 
+    /** Whether [instance] is known to be leaving. */
+    public fun isLeaving(instance: ListedInstance): Boolean = instance.run in leaving
+
     private fun live(kind: InstanceKind): List<ListedInstance> =
         listed.filter { it.kind == kind && it.run !in leaving }.sortedBy { it.id.value }
 }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RunnerClient.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RunnerClient.kt
@@ -9,11 +9,13 @@
 import io.quetzalfield.model.RequestFailure
 import io.quetzalfield.platform.PlatformJson
 import io.quetzalfield.platform.engine.ChatCompletionRequest
+import io.quetzalfield.platform.engine.EngineLoad
 import io.quetzalfield.platform.engine.EngineRefusal
 import io.quetzalfield.platform.engine.EngineRefusalCode
 import io.quetzalfield.platform.engine.REQUEST_ID_HEADER
 import io.quetzalfield.platform.engine.TokenUsage
 import kotlinx.serialization.SerializationException
+import okhttp3.ConnectionPool
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -21,6 +23,7 @@
 import okhttp3.Response
 import okhttp3.sse.EventSources
 import java.io.IOException
+import java.io.InterruptedIOException
 import java.net.ConnectException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -34,13 +37,24 @@
      * The answer is not whole.
      *
      * @property isLeaving whether the runner said that it is leaving.
+     * @property isUnreachable whether the runner refused the connection.
+     * @property isCut whether the connection broke while the runner had the attempt.
      */
-    public data class Failed(val failure: RequestFailure, val isLeaving: Boolean = false) : AttemptResult
+    public data class Failed(
+        val failure: RequestFailure,
+        val isLeaving: Boolean = false,
+        val isUnreachable: Boolean = false,
+        val isCut: Boolean = false,
+    ) : AttemptResult
 }
 
 /** Sends attempts to runners and checks that the answer is whole and the attempt's own. */
 public class RunnerClient(client: OkHttpClient) {
     private val client = client.newBuilder().retryOnConnectionFailure(false).build()
+    private val prober = this.client.newBuilder()
+        .callTimeout(PROBE_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
+        .connectionPool(ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+        .build()
 
     /**
      * Sends [request] to [runner] and reports each token of the answer, in order, to [onToken].
@@ -66,12 +80,34 @@
         return try {
             call.execute().use { response -> read(response, attempt, request, onToken) }
         } catch (error: ConnectException) {
-            notRun(RefusalReason.NO_RUNNER, "runner ${runner.id} cannot be reached: ${error.message}")
+            val failure = NotRun(RefusalReason.NO_RUNNER, "runner ${runner.id} cannot be reached: ${error.message}")
+            AttemptResult.Failed(failure, isUnreachable = true)
         } catch (error: IOException) {
-            mayHaveRun(InterruptionReason.CONNECTION_LOST, "runner ${runner.id}: ${error.message}")
+            interrupted(runner, timeout, error)
         }
     }
 
+    /** Whether the process that listens at [runner] has ended, or another start than [start] has taken its place. */
+    public fun hasCrashed(runner: RunnerView, start: String?): Boolean = try {
+        prober.newCall(Request.Builder().url("${runner.address}/v1/load").build()).execute().use { response ->
+            val report = PlatformJson.decodeFromString(EngineLoad.serializer(), response.body.string())
+            start != null && report.start != start
+        }
+    } catch (_: ConnectException) {
+        true
+    } catch (_: IOException) {
+        false
+    } catch (_: SerializationException) {
+        false
+    }
+
+    private fun interrupted(runner: RunnerView, timeout: Duration, error: IOException): AttemptResult {
+        val isLate = error is InterruptedIOException
+        val reason = if (isLate) InterruptionReason.DEADLINE_PASSED else InterruptionReason.CONNECTION_LOST
+        val message = if (isLate) "no whole answer within $timeout" else "runner ${runner.id}: ${error.message}"
+        return AttemptResult.Failed(MayHaveRun(reason, message), isCut = !isLate)
+    }
+
     private fun read(
         response: Response,
         attempt: AttemptId,
@@ -95,13 +131,11 @@
         return AttemptResult.Failed(failure, isLeaving = refusal.code == EngineRefusalCode.LEAVING)
     }
 
-    private fun notRun(reason: RefusalReason, message: String): AttemptResult =
-        AttemptResult.Failed(NotRun(reason, message))
-
     private fun mayHaveRun(reason: InterruptionReason, message: String): AttemptResult =
         AttemptResult.Failed(MayHaveRun(reason, message))
 
     private companion object {
+        const val PROBE_TIMEOUT_MILLISECONDS = 500L
         val JSON_MEDIA_TYPE = "application/json".toMediaType()
     }
 }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RunnerLoadTracker.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RunnerLoadTracker.kt
@@ -1,24 +1,37 @@
 package io.quetzalfield.entry
 
+import io.quetzalfield.decision.DEFAULT_SUBSET_SIZE
+import io.quetzalfield.decision.PrefixCacheChange
+import io.quetzalfield.decision.PrefixCacheTracker
 import io.quetzalfield.decision.RunnerView
+import io.quetzalfield.decision.runnerSubset
 import io.quetzalfield.model.InstanceId
 import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.RunnerId
-import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.platform.engine.EngineCacheEvent
 import io.quetzalfield.platform.engine.EngineLoad
-import kotlinx.serialization.SerializationException
 import okhttp3.OkHttpClient
-import okhttp3.Request
-import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 
 /** The id of a runner is that of its instance. */
 public fun InstanceId.toRunnerId(): RunnerId = RunnerId(value)
 
-/** Load reports of runners, corrected by the requests that this entry has sent since. */
-public class RunnerLoadTracker(private val fleet: FleetView, client: OkHttpClient) {
+/**
+ * What is known of the runners that this entry follows: their late load reports, corrected by the requests that this
+ * entry has sent since, and the prompt prefixes that their late cache events name.
+ *
+ * @param own this entry, which decides the subset that it follows.
+ */
+public class RunnerLoadTracker(
+    private val own: InstanceId,
+    private val fleet: FleetView,
+    client: OkHttpClient,
+    private val caches: PrefixCacheTracker = PrefixCacheTracker(),
+    private val subsetSize: Int = DEFAULT_SUBSET_SIZE,
+) {
     private class Load {
         @Volatile
         var report: EngineLoad? = null
@@ -26,28 +39,40 @@
 
         @Volatile
         var inFlightAtReport = 0
+
+        @Volatile
+        var isReachable = true
+        val isPolled = AtomicBoolean()
     }
 
-    private val client = client.newBuilder().callTimeout(REPORT_TIMEOUT_SECONDS, TimeUnit.SECONDS).build()
+    private val poller = RunnerPoller(client)
     private val loads = ConcurrentHashMap<RunnerId, Load>()
+    private var refreshes = 0
 
-    /** The live runners as the runner choice wants them. */
-    public fun views(): List<RunnerView> = fleet.runners.map { runner ->
-        val load = loads[runner.id.toRunnerId()]
-        RunnerView(
-            id = runner.id.toRunnerId(),
-            address = runner.address,
-            failureDomain = runner.failureDomain,
-            versions = (load?.report?.versions ?: runner.versions).toSet(),
-            slots = runner.slots,
-            reportedRequests = load?.report?.let { it.running + it.waiting } ?: 0,
-            sentSinceReport = load?.let { it.inFlight.get() - it.inFlightAtReport } ?: 0,
-        )
+    @Volatile
+    private var followed: List<ListedInstance> = emptyList()
+
+    /** The live runners that this entry follows, as the runner choice wants them. */
+    public fun views(): List<RunnerView> = followed.filterNot(fleet::isLeaving).mapNotNull(::view)
+
+    /**
+     * Requests running and waiting at the runners of [version], divided by their slots; `null` without such a runner.
+     */
+    public fun pressure(version: ModelVersionReference): Double? {
+        val pool = views().filter { version in it.versions }
+        if (pool.isEmpty()) return null
+        return pool.sumOf(RunnerView::expectedRequests).toDouble() / pool.sumOf(RunnerView::slots)
     }
 
+    /** Whether [runner] says that it can continue an answer at an offset. */
+    public fun canResume(runner: RunnerId): Boolean = loads[runner]?.report?.canResume ?: false
+
+    /** The number of the start of [runner] that it last reported. */
+    public fun startOf(runner: RunnerId): String? = loads[runner]?.report?.start
+
     /** Counts a request to [runner] while [action] runs. */
     public fun <T> track(runner: RunnerId, action: () -> T): T {
-        val load = loads.computeIfAbsent(runner) { Load() }
+        val load = loadOf(runner)
         load.inFlight.incrementAndGet()
         try {
             return action()
@@ -56,31 +81,79 @@
         }
     }
 
-    /** Asks every live runner for its load. */
+    /** Notes that [runner] cannot be reached; it gets nothing until a report comes from it. */
+    public fun markUnreachable(runner: RunnerId) {
+        loadOf(runner).isReachable = false
+    }
+
+    /** Asks every runner that this entry follows for its load, and now and then for its cache events. */
     public fun refresh() {
-        fleet.runners.forEach(::refresh)
+        followed = subset(fleet.runners)
+        refreshes++
+        followed.forEach(::refresh)
+        if (refreshes % CACHE_EVENT_PERIOD == 0) followed.forEach(::refreshCache)
+    }
+
+    /** Runners of each version, at most [subsetSize] each; a runner counts for the versions that it last reported. */
+    private fun subset(runners: List<ListedInstance>): List<ListedInstance> {
+        if (runners.size <= subsetSize) return runners
+        val byVersion = runners.flatMap { runner ->
+            versionsOf(runner).map { it to runner }
+        }.groupBy({ it.first }, { it.second })
+        return byVersion.values.flatMap { pool -> runnerSubset(own, pool, subsetSize) { it.id.value } }.distinct()
+    }
+
+    private fun versionsOf(runner: ListedInstance): List<ModelVersionReference> =
+        loads[runner.id.toRunnerId()]?.report?.versions ?: runner.versions
+
+    private fun view(runner: ListedInstance): RunnerView? {
+        val id = runner.id.toRunnerId()
+        val load = loadOf(id)
+        if (!load.isReachable) return null
+        val report = load.report
+        return RunnerView(
+            id = id,
+            address = runner.address,
+            failureDomain = runner.failureDomain,
+            versions = (report?.versions ?: runner.versions).toSet(),
+            slots = report?.slots ?: runner.slots,
+            reportedRequests = report?.let { it.running + it.waiting } ?: 0,
+            sentSinceReport = load.inFlight.get() - load.inFlightAtReport,
+            cachedPrefixes = caches.prefixes(id),
+        )
     }
 
     private fun refresh(runner: ListedInstance) {
-        val report = fetch(runner) ?: return
-        val load = loads.computeIfAbsent(runner.id.toRunnerId()) { Load() }
+        val id = runner.id.toRunnerId()
+        val load = loadOf(id)
+        if (!load.isPolled.compareAndSet(false, true)) return
+        poller.fetchLoad(runner.address) { answer ->
+            load.isPolled.set(false)
+            answer.fold({ refused -> if (refused) load.isReachable = false }, { take(runner, load, it) })
+        }
+    }
+
+    private fun take(runner: ListedInstance, load: Load, report: EngineLoad) {
+        val isRestarted = load.report != null && load.report?.start != report.start
+        if (isRestarted) caches.forget(runner.id.toRunnerId())
         load.inFlightAtReport = load.inFlight.get()
         load.report = report
+        load.isReachable = true
         if (report.isLeaving) fleet.markLeaving(runner.id)
     }
 
-    private fun fetch(runner: ListedInstance): EngineLoad? = try {
-        client.newCall(Request.Builder().url("${runner.address}/v1/load").build()).execute().use { response ->
-            val text = response.body.string()
-            if (response.isSuccessful) PlatformJson.decodeFromString(EngineLoad.serializer(), text) else null
+    private fun refreshCache(runner: ListedInstance) {
+        val id = runner.id.toRunnerId()
+        poller.fetchCacheEvents(runner.address, caches.lastSequence(id)) { answer ->
+            answer.onRight { events -> caches.note(id, events.map(EngineCacheEvent::toChange)) }
         }
-    } catch (_: IOException) {
-        null
-    } catch (_: SerializationException) {
-        null
     }
 
+    private fun loadOf(runner: RunnerId): Load = loads.computeIfAbsent(runner) { Load() }
+
     private companion object {
-        const val REPORT_TIMEOUT_SECONDS = 1L
+        const val CACHE_EVENT_PERIOD = 4
     }
 }
+
+private fun EngineCacheEvent.toChange() = PrefixCacheChange(sequence, prefixHash, isStored)
--- /dev/null
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/EmbeddedFleet.kt
@@ -0,0 +1,195 @@
+package io.quetzalfield.entry
+
+import arrow.core.Either
+import io.quetzalfield.decision.AllowanceShare
+import io.quetzalfield.decision.CheapestSufficientRouteChooser
+import io.quetzalfield.decision.RolloutRouteChooser
+import io.quetzalfield.decision.RouteRequest
+import io.quetzalfield.model.ClientAccount
+import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.ClientPlanList
+import io.quetzalfield.model.FailureDomainId
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.InstanceKind
+import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.model.ListsRevision
+import io.quetzalfield.model.Model
+import io.quetzalfield.model.ModelId
+import io.quetzalfield.model.ModelList
+import io.quetzalfield.model.ModelVersion
+import io.quetzalfield.model.ModelVersionReference
+import io.quetzalfield.model.OperatorLists
+import io.quetzalfield.model.Plan
+import io.quetzalfield.model.PlanId
+import io.quetzalfield.model.PlanPermission
+import io.quetzalfield.model.RequestFailure
+import io.quetzalfield.model.RequestId
+import io.quetzalfield.model.RequestKey
+import io.quetzalfield.model.VersionId
+import io.quetzalfield.peer.PeerClients
+import io.quetzalfield.platform.engine.ChatCompletionRequest
+import io.quetzalfield.platform.engine.ChatMessage
+import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
+import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
+import io.quetzalfield.platform.fakes.InMemoryRatingService
+import io.quetzalfield.standins.RunnerFaults
+import io.quetzalfield.standins.RunnerStandIn
+import okhttp3.OkHttpClient
+import java.util.concurrent.ConcurrentLinkedQueue
+
+internal val OLD: ModelVersionReference = ModelVersionReference(ModelId("advisor"), VersionId("1"))
+internal val NEW: ModelVersionReference = ModelVersionReference(ModelId("advisor"), VersionId("2"))
+
+/** Lists with one plan, one account and one model in two versions, the second under roll-out. */
+internal fun listsWith(revision: Long = 1, newShare: Double? = 0.0): OperatorLists = OperatorLists(
+    revision = ListsRevision(revision),
+    plans = ClientPlanList(
+        plans = listOf(Plan(PlanId("plan"), qualityTarget = 0.5)),
+        accounts = listOf(ClientAccount(ClientAccountId("account"), PlanId("plan"), emptyList(), 1_000_000)),
+    ),
+    models = ModelList(
+        models = listOf(
+            Model(
+                id = ModelId("advisor"),
+                versions = listOf(
+                    ModelVersion(VersionId("1"), costPerThousandTokens = 1.0, priorQuality = 0.9),
+                    ModelVersion(
+                        id = VersionId("2"),
+                        costPerThousandTokens = 1.0,
+                        priorQuality = 0.9,
+                        newSessionShare = newShare,
+                    ),
+                ),
+            ),
+        ),
+        permissions = listOf(PlanPermission(PlanId("plan"), listOf(OLD, NEW))),
+    ),
+)
+
+/** What a caller saw of one completion. */
+internal class SeenAnswer(val text: String, val result: Either<RequestFailure, CompletionReport>)
+
+/** One entry's completion service before runners that stand in, all in this process. */
+internal class EmbeddedFleet(runnerCount: Int, allowance: AllowanceShare = AllowanceShare { 1_000_000.0 }) :
+    AutoCloseable {
+    private val directory = InMemoryInstanceDirectory()
+    private val client = OkHttpClient()
+    private val fleet = FleetView(directory)
+    private val incarnation = Incarnation(InstanceId("entry-1"), "start")
+    private val loads = RunnerLoadTracker(incarnation.instance, fleet, client)
+    private val peers = PeerClients()
+    private val lists = ListsHolder().apply { adopt(listsWith()) }
+    private val control = EntryControl(
+        incarnation = incarnation,
+        lists = lists,
+        fleet = fleet,
+        loads = loads,
+        peers = peers,
+        metrics = EntryMetrics(),
+        ratingService = InMemoryRatingService(),
+        allowance = allowance,
+    )
+    private val service = CompletionService(
+        routeChooser = RolloutRouteChooser(CheapestSufficientRouteChooser()),
+        admission = control.admission,
+        attempts = control.attempts(FailureDomainId("domain-1"), RunnerClient(client)),
+        rollouts = control.rollouts,
+        answers = control.answers,
+        ledger = BillLedger(incarnation, InMemoryKeyValueStore()),
+        metrics = EntryMetrics(),
+    )
+    private val crashed = ConcurrentLinkedQueue<Int>()
+    val runners: List<RunnerStandIn> = List(runnerCount, ::startRunner)
+
+    /** How many runners have crashed. */
+    val crashCount: Int get() = crashed.size
+
+    init {
+        runners.forEachIndexed(::list)
+        fleet.refresh()
+        awaitReports()
+    }
+
+    private fun startRunner(index: Int): RunnerStandIn = RunnerStandIn(
+        host = "127.0.0.1",
+        port = 0,
+        versions = listOf(OLD, NEW),
+        tokenDelayMilliseconds = 2,
+        crash = { crash(index) },
+    )
+
+    private fun crash(index: Int) {
+        crashed += index
+        runners[index].close()
+    }
+
+    private fun list(index: Int, runner: RunnerStandIn) {
+        directory.announce(
+            ListedInstance(
+                id = InstanceId("runner-$index"),
+                kind = InstanceKind.RUNNER,
+                address = "http://127.0.0.1:${runner.port}",
+                failureDomain = FailureDomainId("domain-${index % 2}"),
+                versions = listOf(OLD, NEW),
+            ),
+        )
+    }
+
+    private fun awaitReports() {
+        val deadline = System.nanoTime() + REPORT_TIMEOUT_NANOSECONDS
+        while (loads.views().count { loads.canResume(it.id) } < runners.size) {
+            check(System.nanoTime() < deadline) { "no report came" }
+            loads.refresh()
+            Thread.yield()
+        }
+    }
+
+    /** How many requests the runners ran or started to run. */
+    fun seenCount(): Int = runners.sumOf { it.seenRequests().size }
+
+    fun setFaults(faults: RunnerFaults) {
+        runners.forEach { it.setFaults(faults) }
+    }
+
+    fun ask(text: String, tokens: Int = 20): SeenAnswer {
+        val received = StringBuilder()
+        val sink = object : CompletionSink {
+            override fun onStart(version: ModelVersionReference) = Unit
+
+            override fun onToken(text: String) {
+                received.append(text)
+            }
+        }
+        val result = service.complete(call(request(text, tokens)), sink)
+        return SeenAnswer(received.toString(), result)
+    }
+
+    private fun call(body: ChatCompletionRequest): CompletionCall {
+        val snapshot = lists.snapshot
+        val plan = checkNotNull(snapshot.plan(PlanId("plan")))
+        return CompletionCall(
+            id = RequestId("request"),
+            snapshot = snapshot,
+            account = checkNotNull(snapshot.account(ClientAccountId("account"))),
+            plan = plan,
+            key = RequestKey("key"),
+            route = RouteRequest(plan, kind = "general", expectedTokens = body.maximumTokens ?: 1),
+            pin = null,
+            body = body,
+        )
+    }
+
+    override fun close() {
+        runners.forEach(RunnerStandIn::close)
+        control.close()
+        peers.close()
+    }
+
+    private companion object {
+        const val REPORT_TIMEOUT_NANOSECONDS = 10_000_000_000L
+    }
+}
+
+internal fun request(text: String, tokens: Int = 20) =
+    ChatCompletionRequest(model = "auto", messages = listOf(ChatMessage("user", text)), maximumTokens = tokens)
--- /dev/null
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/RatingPipelineTest.kt
@@ -0,0 +1,41 @@
+package io.quetzalfield.entry
+
+import io.quetzalfield.model.AttemptId
+import io.quetzalfield.platform.AnswerToRate
+import io.quetzalfield.platform.Rating
+import io.quetzalfield.platform.fakes.InMemoryRatingService
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class RatingPipelineTest {
+    private val service = InMemoryRatingService()
+    private val own = mutableListOf<Rating>()
+    private val all = mutableListOf<Rating>()
+    private val pipeline = RatingPipeline(service, EntryMetrics(), own::add, all::add, queueCapacity = 3)
+
+    private fun answer(attempt: String) = AnswerToRate(AttemptId(attempt), OLD, "general", "question", "answer")
+
+    private fun exchange(): List<String> {
+        pipeline.handIn()
+        pipeline.readRatings()
+        return own.map { it.attempt.value }
+    }
+
+    @Test
+    fun `answers wait out an outage, as many as the queue holds`() {
+        service.isDown = true
+        repeat(5) { pipeline.offer(answer("attempt-$it")) }
+        assertEquals(emptyList(), exchange())
+        service.isDown = false
+        assertEquals(listOf("attempt-0", "attempt-1", "attempt-2"), exchange())
+    }
+
+    @Test
+    fun `ratings of other entries' answers are not counted as own`() {
+        service.submit(answer("foreign"))
+        pipeline.offer(answer("mine"))
+        assertEquals(listOf("mine"), exchange())
+        assertEquals(listOf("foreign", "mine"), all.map { it.attempt.value })
+        assertEquals(listOf("mine"), exchange())
+    }
+}
--- a/model/src/main/kotlin/io/quetzalfield/model/RequestFailure.kt
+++ b/model/src/main/kotlin/io/quetzalfield/model/RequestFailure.kt
@@ -46,6 +46,7 @@
     NO_RUNNER("no_runner", 503),
     RUNNER_REFUSED("runner_refused", 503),
     REQUEST_CRASHES_RUNNERS("request_crashes_runners", 422),
+    SUSPECT_RUNS_ELSEWHERE("suspect_runs_elsewhere", 429),
     LISTS_NOT_CURRENT("lists_not_current", 503),
     CLAIM_NOT_POSSIBLE("claim_not_possible", 503),
     SHUTTING_DOWN("shutting_down", 503),
--- a/standins/src/main/kotlin/io/quetzalfield/standins/RunnerStandIn.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/RunnerStandIn.kt
@@ -9,6 +9,7 @@
 import io.quetzalfield.platform.engine.ChatCompletionChunk
 import io.quetzalfield.platform.engine.ChatCompletionRequest
 import io.quetzalfield.platform.engine.ChatDelta
+import io.quetzalfield.platform.engine.EngineCacheEvent
 import io.quetzalfield.platform.engine.EngineLoad
 import io.quetzalfield.platform.engine.EngineOrder
 import io.quetzalfield.platform.engine.EngineRefusal
@@ -16,11 +17,13 @@
 import io.quetzalfield.platform.engine.REQUEST_ID_HEADER
 import io.quetzalfield.platform.engine.STREAM_END
 import io.quetzalfield.platform.engine.TokenUsage
+import io.quetzalfield.platform.engine.prefixHash
 import io.quetzalfield.support.EventStreamWriter
 import io.quetzalfield.support.startHttpServer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.builtins.ListSerializer
 import java.io.IOException
+import java.util.UUID
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -62,6 +65,8 @@
 ) : AutoCloseable {
     private val running = AtomicInteger()
     private val seen = ConcurrentLinkedQueue<SeenRequest>()
+    private val cache = PrefixCacheStandIn()
+    private val start = UUID.randomUUID().toString()
 
     @Volatile
     private var faults = RunnerFaults()
@@ -72,6 +77,7 @@
     private val server: Javalin = startHttpServer(host, port) {
         post("/v1/chat/completions", ::complete)
         get("/v1/load") { it.answer(EngineLoad.serializer(), load()) }
+        get("/v1/cache-events", ::answerCacheEvents)
         post("/v1/orders", ::takeOrder)
         post("/faults") { faults = PlatformJson.decodeFromString(RunnerFaults.serializer(), it.body()) }
         get("/seen") { it.answer(ListSerializer(SeenRequest.serializer()), seen.toList()) }
@@ -96,9 +102,16 @@
             slots = slots,
             versions = order.versions,
             isLeaving = faults.isLeaving,
+            canResume = true,
+            start = start,
         )
     }
 
+    private fun answerCacheEvents(context: Context) {
+        val after = context.queryParam("after")?.toLongOrNull() ?: 0
+        context.answer(ListSerializer(EngineCacheEvent.serializer()), cache.eventsAfter(after))
+    }
+
     private fun takeOrder(context: Context) {
         val newOrder = PlatformJson.decodeFromString(EngineOrder.serializer(), context.body())
         if (refusesOldOrders && newOrder.fencingNumber < order.fencingNumber) {
@@ -128,6 +141,7 @@
             val words = answerWords(request)
             seen += SeenRequest(attempt, request.model, words.size)
             if (shouldCrash(request)) crash()
+            cache.use(request.prefixHash)
             stream(context, request, attempt, words)
         } catch (_: IOException) {
             // The caller has gone: the request is cancelled.
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -5,11 +5,14 @@
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.peer.PeerClients
 import io.quetzalfield.platform.DutyLease
 import io.quetzalfield.platform.EtcdGatewayKeyValueStore
 import io.quetzalfield.platform.HttpInstanceDirectory
 import io.quetzalfield.platform.InstanceDirectory
 import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.steward.rollouts.PeerRolloutEntries
+import io.quetzalfield.steward.rollouts.RolloutDuty
 import io.quetzalfield.support.HostPort
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
@@ -33,6 +36,15 @@
         timeToLive = settings.leaseTimeToLive,
         margin = settings.leaseMargin,
     )
+    private val peers = PeerClients()
+    private val rolloutLease = DutyLease(
+        store = store,
+        name = "rollouts",
+        holder = incarnation,
+        timeToLive = settings.leaseTimeToLive,
+        margin = settings.leaseMargin,
+    )
+    private val rollouts = RolloutDuty(store, PeerRolloutEntries(directory, peers), rolloutLease)
     private val server: Javalin = startOperatorServer()
     private val scheduler = newScheduler("steward")
 
@@ -41,6 +53,8 @@
             announce()
             lease.renew()
         }
+        scheduler.every(settings.dutyPeriod, rolloutLease::renew)
+        scheduler.every(settings.dutyPeriod, rollouts::run)
         logger.info("steward {} has started", incarnation)
     }
 
@@ -67,6 +81,8 @@
     override fun close() {
         scheduler.shutdownNow()
         lease.release()
+        rolloutLease.release()
+        peers.close()
         directory.remove(settings.instance)
         server.stop()
         logger.info("steward {} has stopped", incarnation)
