--- a/decision/src/main/kotlin/io/quetzalfield/decision/RolloutRouteChooser.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/RolloutRouteChooser.kt
@@ -33,17 +33,31 @@
  */
 public class RolloutRouteChooser(private val delegate: RouteChooser, private val random: Random = Random.Default) :
     RouteChooser {
+    private class KnownRollouts(val snapshot: ListsSnapshot, val rollouts: List<Rollout>)
+
+    @Volatile
+    private var known = KnownRollouts(ListsSnapshot.Empty, emptyList())
+
     override fun choose(
         request: RouteRequest,
         snapshot: ListsSnapshot,
         excluded: Set<ModelVersionReference>,
     ): Either<NotRun, Route> {
-        if (request.requested is RequestedModel.Exactly) return delegate.choose(request, snapshot, excluded)
+        val rollouts = rolloutsIn(snapshot)
+        if (rollouts.isEmpty() || request.requested is RequestedModel.Exactly) {
+            return delegate.choose(request, snapshot, excluded)
+        }
         val allowed = snapshot.allowedVersions(request.plan.id).filterNot(excluded::contains)
-        val withheld = rolloutsOf(snapshot).mapNotNull { withheld(it, allowed) }
+        val withheld = rollouts.mapNotNull { withheld(it, allowed) }
         return delegate.choose(request, snapshot, excluded + withheld)
     }
 
+    private fun rolloutsIn(snapshot: ListsSnapshot): List<Rollout> {
+        val last = known
+        if (last.snapshot === snapshot) return last.rollouts
+        return rolloutsOf(snapshot).also { known = KnownRollouts(snapshot, it) }
+    }
+
     private fun withheld(rollout: Rollout, allowed: List<ModelVersionReference>): ModelVersionReference? = when {
         rollout.version !in allowed -> null
         rollout.share <= 0.0 -> rollout.version
--- a/entry/src/main/kotlin/io/quetzalfield/entry/FingerprintExchange.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/FingerprintExchange.kt
@@ -70,7 +70,7 @@
     }
 
     private companion object {
-        val TIMEOUT: Duration = 200.milliseconds
+        val TIMEOUT: Duration = 500.milliseconds
     }
 }
 
--- a/entry/src/main/kotlin/io/quetzalfield/entry/PeerObservations.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/PeerObservations.kt
@@ -31,14 +31,15 @@
         return sums
     }
 
-    override fun tellStop(version: ModelVersionReference, reason: String, revision: ListsRevision) {
+    override fun tellStop(version: ModelVersionReference, reason: String, revision: ListsRevision): Boolean {
         val stop = VersionStop.newBuilder()
             .setModel(version.model.value)
             .setVersion(version.version.value)
             .setReason(reason)
             .setListsRevision(revision.value)
             .build()
-        others().forEach { peer -> peers.call(peer.peerAddress.orEmpty(), TIMEOUT) { it.stopVersion(stop) } }
+        val answers = others().map { peer -> peers.call(peer.peerAddress.orEmpty(), TIMEOUT) { it.stopVersion(stop) } }
+        return answers.all { it.isRight() }
     }
 
     private fun others(): List<ListedInstance> =
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RolloutMonitor.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RolloutMonitor.kt
@@ -18,8 +18,8 @@
     /** Sums that other entries have seen, by version. */
     fun observations(): Map<ModelVersionReference, RolloutObservations>
 
-    /** Tells the other entries that [version] is stopped. */
-    fun tellStop(version: ModelVersionReference, reason: String, revision: ListsRevision)
+    /** Tells the other entries that [version] is stopped; `true` when all of them have answered. */
+    fun tellStop(version: ModelVersionReference, reason: String, revision: ListsRevision): Boolean
 }
 
 /**
@@ -34,6 +34,7 @@
     private val test: RolloutTest = RolloutTest(),
 ) {
     private val stops = ConcurrentHashMap<ModelVersionReference, ListsRevision>()
+    private val untold = mutableMapOf<ModelVersionReference, String>()
 
     /** The versions that are stopped ahead of [snapshot]. */
     fun stoppedVersions(snapshot: ListsSnapshot): Set<ModelVersionReference> =
@@ -43,6 +44,7 @@
     fun check() {
         val snapshot = lists.snapshot
         forgetEndedStops(snapshot)
+        tellStops()
         val running = rolloutsOf(snapshot).filterNot { stops.containsKey(it.version) }
         if (running.isEmpty()) return
         val stoppedByOwn = running.filter { stopIfHarmful(it, snapshot, observations::of) }
@@ -70,10 +72,18 @@
         val reason = verdict.cause.name.lowercase()
         if (!stop(rollout.version, reason, snapshot.revision)) return false
         metrics.countVersionStop("own")
-        peers.tellStop(rollout.version, reason, snapshot.revision)
+        untold[rollout.version] = reason
+        tellStops()
         return true
     }
 
+    /** Tells the peers of own stops; one that did not reach all of them is told again by the next check. */
+    private fun tellStops() {
+        untold.entries.removeIf { (version, reason) ->
+            stops[version]?.let { peers.tellStop(version, reason, it) } ?: true
+        }
+    }
+
     private fun stop(version: ModelVersionReference, reason: String, revision: ListsRevision): Boolean {
         val isNew = stops.put(version, revision) == null
         if (isNew) logger.warn("version {} is stopped at revision {}: {}", version, revision, reason)
--- a/entry/src/test/kotlin/io/quetzalfield/entry/RolloutMonitorTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/RolloutMonitorTest.kt
@@ -13,8 +13,11 @@
 
         override fun observations() = sums
 
-        override fun tellStop(version: ModelVersionReference, reason: String, revision: ListsRevision) {
+        var isReachable = true
+
+        override fun tellStop(version: ModelVersionReference, reason: String, revision: ListsRevision): Boolean {
             told += version
+            return isReachable
         }
     }
 
@@ -39,6 +42,18 @@
         assertEquals(listOf(NEW), peers.told)
     }
 
+    @Test
+    fun `a stop that did not reach all peers is told again`() {
+        val peers = KnownPeers(emptyMap()).apply { isReachable = false }
+        val monitor = monitor(peers)
+        rate(OLD, passed = 180, failed = 20)
+        rate(NEW, passed = 12, failed = 18)
+        monitor.check()
+        peers.isReachable = true
+        repeat(3) { monitor.check() }
+        assertEquals(listOf(NEW, NEW), peers.told)
+    }
+
     @Test
     fun `what peers have seen counts too`() {
         val sums = mapOf(
