--- a/entry/src/test/kotlin/io/quetzalfield/entry/ListsDistributionTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/ListsDistributionTest.kt
@@ -38,8 +38,9 @@
         val lists = ListsHolder()
         val fleet = FleetView(directory)
         val peers = PeerClients()
+        private val incarnation = Incarnation(InstanceId(id), "start")
         val distribution = ListsDistribution(
-            incarnation = Incarnation(InstanceId(id), "start"),
+            incarnation = incarnation,
             ownFailureDomain = FailureDomainId(domain),
             lists = lists,
             currency = ListsCurrency(BOUND, time),
@@ -49,7 +50,7 @@
             random = Random(1),
             timeSource = time,
         )
-        val server = PeerServer("127.0.0.1", 0, EntryPeerService(lists, WitnessedBills(BilledKeys()), { _, _ -> }))
+        val server = PeerServer("127.0.0.1", 0, peerServiceOf(lists, controlOf(incarnation, lists, fleet, peers)))
         val listed = ListedInstance(
             id = InstanceId(id),
             kind = InstanceKind.ENTRY,
