--- /dev/null
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/LearnedQualityEstimates.kt
@@ -0,0 +1,138 @@
+package io.quetzalfield.decision
+
+import io.quetzalfield.model.ModelVersionReference
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.math.pow
+import kotlin.math.sqrt
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/**
+ * How pass rates are learnt.
+ *
+ * @property priorRatings how many ratings the prior of the operators' lists is worth.
+ * @property escalatedPriorRatings how many ratings the prior of an escalated answer is worth.
+ * @property escalatedPriorFactor share of its usual pass rate that a second stage is assumed to reach on requests
+ * whose first answer was not accepted.
+ * @property halfLifeInRatings after how many further ratings of the same version and kind a rating counts half.
+ * @property noticedDrop fall of a pass rate, as a share from 0 to 1, that the change detector is tuned to.
+ * @property fallThreshold log-likelihood ratio, in nats, at which a fall is noticed and older ratings are set aside.
+ * @property riseThreshold log-likelihood ratio, in nats, at which a fallen version is found to have recovered.
+ * @property ratingsBeforeDetection ratings that an expected rate must rest on before a fall from it is looked for; with
+ * fewer, a prior that is wrong for the kind would count as a fall.
+ * @property ratingsOfLastingFall ratings since a fall after which the fallen rate is learnt like any other.
+ * @property fallenHalfLife after what time a rating of a fallen version counts half.
+ * @property fadeInterval least time between two steps of that discount.
+ * @property maximumCells combinations of kind and former stage that are learnt apart for one version.
+ */
+public data class LearningSettings(
+    val priorRatings: Double = 20.0,
+    val escalatedPriorRatings: Double = 20.0,
+    val escalatedPriorFactor: Double = 0.95,
+    val halfLifeInRatings: Double = 5_000.0,
+    val noticedDrop: Double = 0.15,
+    val fallThreshold: Double = 10.0,
+    val riseThreshold: Double = 4.0,
+    val ratingsBeforeDetection: Double = 50.0,
+    val ratingsOfLastingFall: Double = 300.0,
+    val fallenHalfLife: Duration = 2.minutes,
+    val fadeInterval: Duration = 1.seconds,
+    val maximumCells: Int = 512,
+) {
+    internal val retentionPerRating: Double get() = HALF.pow(1 / halfLifeInRatings)
+
+    private companion object {
+        const val HALF = 0.5
+    }
+}
+
+/**
+ * The answer before the one that is rated, when a cascade went on to its second stage.
+ *
+ * @property version the version of the first stage.
+ * @property score the acceptance score of its answer, below the gate's.
+ */
+public data class Escalation(val version: ModelVersionReference, val score: Double)
+
+/**
+ * A rating as the estimates take it.
+ *
+ * @property score the acceptance score of the rated answer; `null` when the engine reported none.
+ * @property escalation the stage before it; `null` for an answer of the first or only stage.
+ */
+public data class RatedAnswer(
+    val version: ModelVersionReference,
+    val kind: String,
+    val passed: Boolean,
+    val score: Double? = null,
+    val escalation: Escalation? = null,
+)
+
+/**
+ * Pass rates learnt from ratings, by version, kind of request and acceptance score.
+ *
+ * Each rate is the mean of a Beta distribution whose prior is that of the operators' lists. Older ratings count less,
+ * and are set aside when a change detector finds that the version's rate has fallen. Thread-safe: versions are spread
+ * over shards, each under its own lock.
+ */
+public class LearnedQualityEstimates(
+    private val settings: LearningSettings = LearningSettings(),
+    private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) : QualityEstimates,
+    CascadeEstimates {
+    private class Shard {
+        val lock = ReentrantLock()
+        val versions = HashMap<ModelVersionReference, VersionEvidence>()
+    }
+
+    private val shards = List(SHARD_COUNT) { Shard() }
+
+    override fun estimate(version: ModelVersionReference, kind: String, prior: Double): Double =
+        profile(version, kind, prior).passRate
+
+    /** The pass rate of [version] that is exceeded with a probability of about [confidence]. */
+    public fun lowerBound(version: ModelVersionReference, kind: String, prior: Double, confidence: Double): Double {
+        val profile = profile(version, kind, prior)
+        return profile.passRate - normalQuantile(confidence) * sqrt(profile.variance)
+    }
+
+    override fun profile(version: ModelVersionReference, kind: String, prior: Double): ScoreProfile =
+        withEvidence(version) { it.profile(EvidenceKey(kind), prior) }
+
+    override fun escalatedProfile(
+        first: ModelVersionReference,
+        second: ModelVersionReference,
+        kind: String,
+        prior: Double,
+    ): ScoreProfile = withEvidence(second) { evidence ->
+        val usual = evidence.profile(EvidenceKey(kind), prior).passRate
+        evidence.profile(EvidenceKey(kind, escalatedFrom = first), usual * settings.escalatedPriorFactor)
+    }
+
+    /** Takes the acceptance [score] of an answer of a first or only stage, whether it was accepted or not. */
+    public fun recordScore(version: ModelVersionReference, kind: String, score: Double) {
+        withEvidence(version) { it.cell(EvidenceKey(kind)).recordScore(score) }
+    }
+
+    /** Takes a rating. */
+    public fun recordRating(answer: RatedAnswer) {
+        val escalation = answer.escalation
+        val key = EvidenceKey(answer.kind, escalation?.version)
+        val score = if (escalation == null) answer.score else escalation.score
+        withEvidence(answer.version) { it.recordRating(key, score, answer.passed) }
+    }
+
+    private inline fun <T> withEvidence(version: ModelVersionReference, action: (VersionEvidence) -> T): T {
+        val shard = shards[Math.floorMod(version.hashCode(), SHARD_COUNT)]
+        return shard.lock.withLock {
+            action(shard.versions.getOrPut(version) { VersionEvidence(settings, timeSource) })
+        }
+    }
+
+    private companion object {
+        const val SHARD_COUNT = 16
+    }
+}
--- a/operator/src/main/kotlin/io/quetzalfield/operator/QuetzalfieldCommand.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/QuetzalfieldCommand.kt
@@ -26,4 +26,5 @@
             ShowCommand(connector),
             ExplainCommand(connector),
             WatchCommand(connector),
+            replayCommand(),
         )
