Run the two stages of a cascade at the entry, and learn from its scores, ratings and latencies

Ruled out: holding the whole first answer (the first token would wait for all of it); judging by the rating service on the request path (it answers late or never). Change: the first stage is held until its gate's number of tokens has come; its score is the geometric mean of the engine's token probabilities. A rejected answer is cancelled at the runner and the second stage answers. After that no refusal says 'not run'. Where the first stage has no runner, the second stands in. Only the answering stage is billed. Sessions choose routes of one stage. Settings take one of the deployments' two presets.

--- a/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
@@ -30,9 +30,14 @@
     val explorationConfidence: Double = 0.98,
     val windowConfidence: Double = 0.99,
     val windowAnswers: Int = 1_000,
-    val gateTokens: Int = 24,
+    val gateTokens: Int = DEFAULT_GATE_TOKENS,
     val exploration: ExplorationPlan = ExplorationPlan(),
-)
+) {
+    public companion object {
+        /** Tokens after which the acceptance score of an answer is taken. */
+        public const val DEFAULT_GATE_TOKENS: Int = 24
+    }
+}
 
 /**
  * Weighs all single versions and all two-stage cascades of the eligible versions, and takes the least weighted sum of
--- a/entry/src/main/kotlin/io/quetzalfield/entry/AnswerAssembler.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/AnswerAssembler.kt
@@ -22,7 +22,7 @@
  * Accepts the events of one attempt's stream: only under the attempt's id, only in order, and whole only with finish
  * reason, matching length and end marker.
  */
-internal class AnswerAssembler(attempt: AttemptId, firstOffset: Int, private val onToken: (String) -> Unit) :
+internal class AnswerAssembler(attempt: AttemptId, firstOffset: Int, private val onToken: (AnswerToken) -> Unit) :
     EventSourceListener() {
     private val expectedId = COMPLETION_ID_PREFIX + attempt.value
     private var nextOffset = firstOffset
@@ -30,7 +30,7 @@
     private var usage: TokenUsage? = null
     private var hasEnded = false
     private var fault: String? = null
-    private var callerGone: CallerGoneException? = null
+    private var aborted: AttemptAbortedException? = null
     private var isBroken = false
     private var isLate = false
 
@@ -51,7 +51,7 @@
     }
 
     override fun onFailure(eventSource: EventSource, t: Throwable?, response: Response?) {
-        if (t is CallerGoneException) callerGone = t
+        if (t is AttemptAbortedException) aborted = t
         if (t is InterruptedIOException) isLate = true
         if (t is IOException) isBroken = true
         if (fault == null) fault = "the stream broke: ${t?.message}"
@@ -59,7 +59,7 @@
 
     /** How the attempt ended, once the stream is over. */
     fun result(): AttemptResult {
-        callerGone?.let { throw it }
+        aborted?.let { throw it }
         val total = usage
         val reason = finishReason
         val problem = when {
@@ -87,6 +87,6 @@
             return
         }
         nextOffset++
-        onToken(content)
+        onToken(AnswerToken(content, choice.logProbabilities?.content?.firstOrNull()?.logProbability))
     }
 }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/AnswerObserver.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/AnswerObserver.kt
@@ -1,5 +1,7 @@
 package io.quetzalfield.entry
 
+import io.quetzalfield.decision.LearningRouting
+import io.quetzalfield.decision.VersionLatency
 import io.quetzalfield.platform.AnswerToRate
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -9,6 +11,7 @@
     private val answerTimes: AnswerTimes,
     private val observations: ObservationBook,
     private val ratings: RatingPipeline,
+    private val routing: LearningRouting,
 ) {
     /** Notes the whole answer of [run], which took [elapsed]. */
     fun onAnswer(run: CompletionRun, tokens: Int, elapsed: Duration) {
@@ -16,6 +19,7 @@
         val isSlow = firstToken > run.call.plan.firstTokenDeadlineMilliseconds.milliseconds
         answerTimes.note(run.version, tokens, elapsed)
         observations.noteAnswer(run.version, isSlow)
+        learn(run, tokens, firstToken, elapsed)
         val attempt = run.lastAttempt ?: return
         ratings.offer(
             AnswerToRate(
@@ -25,6 +29,21 @@
                 question = run.call.body.messages.lastOrNull()?.content.orEmpty(),
                 answer = run.answer,
             ),
+            AnswerOrigin(run.score, run.escalation),
         )
     }
+
+    /** Notes the acceptance [score] of the first answer of [run], which was not accepted. */
+    fun onRejectedScore(run: CompletionRun, score: Double) {
+        routing.qualities.recordScore(run.version, run.call.route.kind, score)
+    }
+
+    private fun learn(run: CompletionRun, tokens: Int, firstToken: Duration, elapsed: Duration) {
+        val perToken = (elapsed - firstToken) / tokens.coerceAtLeast(1)
+        if (run.escalation == null) routing.latencies.record(run.version, VersionLatency(firstToken, perToken))
+        val score = run.score
+        if (run.escalation == null && score != null) {
+            routing.qualities.recordScore(run.version, run.call.route.kind, score)
+        }
+    }
 }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CallerApi.kt
@@ -73,7 +73,7 @@
     private fun openSession(context: Context): Either<RequestFailure, Unit> = authenticate(context).flatMap { caller ->
         parseBody(context.body().ifBlank { "{}" }, OpenSessionRequest.serializer()).flatMap { request ->
             requestedModel(request.model, caller.snapshot).flatMap { requested ->
-                val routeRequest = RouteRequest(caller.plan, request.kind, requested)
+                val routeRequest = RouteRequest(caller.plan, request.kind, requested, maximumStages = 1)
                 completions.chooseRoute(routeRequest, caller.snapshot)
                     .flatMap { route -> sessionAnswer(caller, route.stages.last()) }
                     .map { context.answerJson(OpenSessionAnswer.serializer(), it) }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionAttempts.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionAttempts.kt
@@ -142,11 +142,12 @@
     private fun attempt(run: CompletionRun, runner: RunnerView): AttemptResult {
         run.tried += runner.id
         val attempt = AttemptId(UUID.randomUUID().toString())
-        run.lastAttempt = attempt
+        run.onAttempt(attempt)
         val request = run.call.body.copy(
             model = run.version.toString(),
             stream = true,
             streamOptions = StreamOptions(includeUsage = true),
+            logProbabilities = true,
             resumeOffset = run.tokensSent.takeIf { it > 0 },
             priority = enginePriority(run.call.plan.priority),
         )
@@ -154,7 +155,11 @@
         journal.record(run.call.id, RequestEvent.AttemptSent(attempt, runner.id, run.version))
         val result = loads.track(runner.id) { runners.stream(runner, attempt, request, run.timeLeft, run::onToken) }
         return when (result) {
-            is AttemptResult.Complete -> result.also { guard.noteAnswer(run.fingerprint) }
+            is AttemptResult.Complete -> {
+                guard.noteAnswer(run.fingerprint)
+                run.onEnd()
+                result
+            }
 
             is AttemptResult.Failed -> failed(run, runner, start, result)
                 .also { journal.record(run.call.id, RequestEvent.AttemptFailed(attempt, it.failure)) }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
@@ -65,7 +65,7 @@
 public class CompletionService internal constructor(
     private val routeChooser: RouteChooser,
     private val admission: RequestAdmission,
-    private val attempts: CompletionAttempts,
+    private val stages: CompletionStages,
     private val rollouts: RolloutMonitor,
     private val answers: AnswerObserver,
     private val ledger: BillLedger,
@@ -106,30 +106,25 @@
         admitted: Admitted,
         sink: CompletionSink,
     ): Either<RequestFailure, CompletionReport> {
-        var tokens = 0
+        val counted = CountingSink(sink)
         try {
-            return chooseVersion(call).flatMap { version ->
-                val run = CompletionRun(call, version, sink, timeSource)
-                try {
-                    attempts.run(run).map { bill(run, it) }
-                } finally {
-                    tokens = run.tokensSent
-                }
-            }
+            return chooseStages(call)
+                .flatMap { route -> stages.run(call, route, counted, timeSource.markNow()) }
+                .map(::bill)
         } catch (error: CallerGoneException) {
             metrics.countCallerGone()
             throw error
         } finally {
-            admitted.finish(tokens)
+            admitted.finish(counted.tokens)
         }
     }
 
-    private fun chooseVersion(call: CompletionCall): Either<RequestFailure, ModelVersionReference> {
+    private fun chooseStages(call: CompletionCall): Either<RequestFailure, Route> {
         val pin = call.pin
         val route = if (pin == null) chooseRoute(call.route, call.snapshot) else pinnedRoute(pin, call.snapshot)
-        return route
-            .onRight { journal.record(call.id, RequestEvent.Decided(it.stages, it.considered, isPinned = pin != null)) }
-            .map { it.stages.first() }
+        return route.onRight {
+            journal.record(call.id, RequestEvent.Decided(it.stages, it.considered, isPinned = pin != null))
+        }
     }
 
     private fun pinnedRoute(pin: SessionPin, snapshot: ListsSnapshot): Either<NotRun, Route> {
@@ -138,7 +133,9 @@
         return NotRun(RefusalReason.VERSION_WITHDRAWN, message).left()
     }
 
-    private fun bill(run: CompletionRun, result: AttemptResult.Complete): CompletionReport {
+    private fun bill(stage: AnsweredStage): CompletionReport {
+        val run = stage.run
+        val result = stage.result
         val costPerThousandTokens = run.call.snapshot.version(run.version)?.costPerThousandTokens ?: 0.0
         val tokens = result.usage.completionTokens.toLong()
         val priceMicros = Math.round(tokens * costPerThousandTokens * MICROS_PER_UNIT / TOKENS_PER_PRICE)
@@ -156,3 +153,14 @@
         const val TOKENS_PER_PRICE = 1_000
     }
 }
+
+/** Counts the tokens that go to [sink]. */
+private class CountingSink(private val sink: CompletionSink) : CompletionSink by sink {
+    var tokens = 0
+        private set
+
+    override fun onToken(text: String) {
+        tokens++
+        sink.onToken(text)
+    }
+}
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
@@ -4,6 +4,7 @@
 import io.quetzalfield.decision.AllowanceShare
 import io.quetzalfield.decision.CrashQuarantine
 import io.quetzalfield.decision.ExpectedFinishRunnerChooser
+import io.quetzalfield.decision.LearningRouting
 import io.quetzalfield.decision.RetryBudget
 import io.quetzalfield.model.ClientAccountId
 import io.quetzalfield.model.FailureDomainId
@@ -16,7 +17,6 @@
 import io.quetzalfield.peer.wire.FingerprintList
 import io.quetzalfield.peer.wire.ObservationsReply
 import io.quetzalfield.peer.wire.VersionStop
-import io.quetzalfield.platform.Rating
 import io.quetzalfield.platform.RatingService
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
@@ -40,8 +40,8 @@
     peers: PeerClients,
     private val metrics: EntryMetrics,
     ratingService: RatingService,
+    private val routing: LearningRouting,
     allowance: AllowanceShare = EvenAllowanceShare(lists, fleet),
-    onRating: (Rating) -> Unit = {},
 ) : AutoCloseable {
     private val scheduler = newScheduler("control")
     private val quarantine = CrashQuarantine(incarnation.instance)
@@ -53,11 +53,11 @@
         service = ratingService,
         metrics = metrics,
         onOwnRating = { observations.noteRating(it.source, it.passed) },
-        onRating = onRating,
+        onRating = routing.qualities::recordRating,
     )
     val admission = RequestAdmission(AdmissionControl(allowance), loads, answerTimes)
     val rollouts = RolloutMonitor(lists, observations, PeerObservations(incarnation, fleet, peers), metrics)
-    val answers = AnswerObserver(answerTimes, observations, ratings)
+    val answers = AnswerObserver(answerTimes, observations, ratings, routing)
 
     fun attempts(
         ownFailureDomain: FailureDomainId,
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
@@ -64,6 +64,11 @@
         .labelNames("outcome")
         .register(registry)
 
+    private val escalations = Counter.builder()
+        .name("quetzalfield_escalations_total")
+        .help("First answers that were not accepted, by model version")
+        .labelNames("version")
+        .register(registry)
     private val refusedRetries = Counter.builder()
         .name("quetzalfield_retries_refused_total")
         .help("Failed attempts that were not followed by another, by reason")
@@ -113,6 +118,10 @@
         forwards.labelValues(outcome.label).inc()
     }
 
+    public fun countEscalation(version: String) {
+        escalations.labelValues(version).inc()
+    }
+
     public fun countRetryRefused(obstacle: RetryObstacle) {
         refusedRetries.labelValues(obstacle.label).inc()
     }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -2,8 +2,8 @@
 
 import io.javalin.Javalin
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import io.quetzalfield.decision.CheapestSufficientRouteChooser
-import io.quetzalfield.decision.RolloutRouteChooser
+import io.quetzalfield.decision.CascadeSettings
+import io.quetzalfield.decision.LearningRouting
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
@@ -27,6 +27,7 @@
 import org.apache.logging.log4j.LogManager
 import java.util.UUID
 import java.util.concurrent.TimeUnit
+import kotlin.random.Random
 import kotlin.time.Duration
 
 /** An entry that runs: it answers callers and peers until it is closed. */
@@ -66,12 +67,18 @@
         store = store,
         ages = ages,
     )
-    private val control = EntryControl(incarnation, lists, fleet, loads, peers, metrics, ratingService)
+    private val routing = LearningRouting(CascadeSettings(settings.decisionPreset.weights), Random.Default)
+    private val control = EntryControl(incarnation, lists, fleet, loads, peers, metrics, ratingService, routing)
     private val decisionLists = CurrentLists(lists, distribution::isCurrent)
     private val completions = CompletionService(
-        routeChooser = RolloutRouteChooser(CheapestSufficientRouteChooser()),
+        routeChooser = routing.chooser,
         admission = control.admission,
-        attempts = control.attempts(settings.failureDomain, RunnerClient(client), journal),
+        stages = CompletionStages(
+            attempts = control.attempts(settings.failureDomain, RunnerClient(client), journal),
+            answers = control.answers,
+            metrics = metrics,
+            journal = journal,
+        ),
         rollouts = control.rollouts,
         answers = control.answers,
         ledger = ledger,
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntrySettings.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.entry
 
 import arrow.core.Either
+import io.quetzalfield.decision.DecisionWeights
 import io.quetzalfield.model.FailureDomainId
 import io.quetzalfield.model.InstanceId
 import io.quetzalfield.support.SettingDuration
@@ -26,6 +27,7 @@
  * @property peerAddress `host:port` of the peer protocol; port 0 takes a free one.
  * @property operatorAddress `host:port` of the interface towards operators; port 0 takes a free one.
  * @property platformAddress `http://host:port` of the platform's services.
+ * @property decisionPreset what the choice among sufficient routes minds most.
  * @property addressValidity how long callers may keep an address answer.
  * @property listRefresh time between two looks at the platform's list of instances.
  * @property loadRefresh time between two load reports of a runner.
@@ -40,6 +42,7 @@
     val peerAddress: String,
     val platformAddress: String,
     val operatorAddress: String = "127.0.0.1:0",
+    val decisionPreset: DecisionPreset = DecisionPreset.WATERING_ADVICE,
     val addressValidity: SettingDuration = 10.seconds,
     val listRefresh: SettingDuration = 500.milliseconds,
     val loadRefresh: SettingDuration = 250.milliseconds,
@@ -49,6 +52,16 @@
     val largestBodyBytes: Long = DEFAULT_LARGEST_BODY_BYTES,
 )
 
+/** The deployments' weights of cost, latency and exposure. */
+@Serializable
+public enum class DecisionPreset(public val weights: DecisionWeights) {
+    /** Latency most, exposure next. */
+    NEEDLE_CALIBRATION(DecisionWeights.KalkkilaNeedleCalibration),
+
+    /** Cost most. */
+    WATERING_ADVICE(DecisionWeights.WateringAdvice),
+}
+
 /** Reads and checks the settings in [file]. */
 public fun loadEntrySettings(file: Path): Either<List<SettingsError>, EntrySettings> =
     loadYaml(file, EntrySettings.serializer(), ::entrySettingsFaults)
--- a/entry/src/main/kotlin/io/quetzalfield/entry/Explanations.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/Explanations.kt
@@ -90,6 +90,8 @@
 
     is RequestEvent.Retried -> "another attempt follows: ${reason.label}"
 
+    is RequestEvent.Escalated -> "the answer of $from was not accepted, its score is $score; $to answers"
+
     is RequestEvent.Answered -> "the whole answer of $version arrived, $tokens tokens"
 
     is RequestEvent.Billed -> if (isBilled) "billed, $priceMicros millionths" else "the key was billed before"
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RatingPipeline.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RatingPipeline.kt
@@ -1,11 +1,21 @@
 package io.quetzalfield.entry
 
+import io.quetzalfield.decision.Escalation
+import io.quetzalfield.decision.RatedAnswer
 import io.quetzalfield.model.AttemptId
 import io.quetzalfield.platform.AnswerToRate
 import io.quetzalfield.platform.Rating
 import io.quetzalfield.platform.RatingService
 import java.util.concurrent.ArrayBlockingQueue
 
+/**
+ * What this entry knows of an answer beside its rating.
+ *
+ * @property score the acceptance score; `null` when the engine reported none.
+ * @property escalation the stage before; `null` for a first or only stage.
+ */
+internal data class AnswerOrigin(val score: Double? = null, val escalation: Escalation? = null)
+
 /**
  * Hands answers in to the rating service and reads ratings from it, apart from the requests: an answer waits in a
  * bounded queue, and is dropped and counted when that is full.
@@ -17,24 +27,26 @@
     private val service: RatingService,
     private val metrics: EntryMetrics,
     private val onOwnRating: (Rating) -> Unit,
-    private val onRating: (Rating) -> Unit = {},
+    private val onRating: (RatedAnswer) -> Unit = {},
     queueCapacity: Int = DEFAULT_QUEUE_CAPACITY,
 ) {
-    private val queue = ArrayBlockingQueue<AnswerToRate>(queueCapacity)
-    private val unrated = LinkedHashSet<AttemptId>()
+    private class Waiting(val answer: AnswerToRate, val origin: AnswerOrigin)
+
+    private val queue = ArrayBlockingQueue<Waiting>(queueCapacity)
+    private val unrated = LinkedHashMap<AttemptId, AnswerOrigin>()
     private var position = 0L
 
     /** Queues [answer]; never waits. */
-    fun offer(answer: AnswerToRate) {
-        if (!queue.offer(answer)) metrics.countRatingDropped()
+    fun offer(answer: AnswerToRate, origin: AnswerOrigin = AnswerOrigin()) {
+        if (!queue.offer(Waiting(answer, origin))) metrics.countRatingDropped()
     }
 
     /** Hands in what is queued, until the service fails to take an answer. */
     fun handIn() {
         while (true) {
-            val answer = queue.peek() ?: return
-            remember(answer.attempt)
-            if (service.submit(answer).isLeft()) return
+            val waiting = queue.peek() ?: return
+            remember(waiting)
+            if (service.submit(waiting.answer).isLeft()) return
             queue.remove()
         }
     }
@@ -46,13 +58,14 @@
 
     private fun take(rating: Rating) {
         position = maxOf(position, rating.position)
-        onRating(rating)
-        if (synchronized(unrated) { unrated.remove(rating.attempt) }) onOwnRating(rating)
+        val origin = synchronized(unrated) { unrated.remove(rating.attempt) }
+        onRating(RatedAnswer(rating.source, rating.kind, rating.passed, origin?.score, origin?.escalation))
+        if (origin != null) onOwnRating(rating)
     }
 
-    private fun remember(attempt: AttemptId): Unit = synchronized(unrated) {
-        unrated += attempt
-        if (unrated.size > REMEMBERED_ATTEMPTS) unrated.remove(unrated.first())
+    private fun remember(waiting: Waiting): Unit = synchronized(unrated) {
+        unrated[waiting.answer.attempt] = waiting.origin
+        if (unrated.size > REMEMBERED_ATTEMPTS) unrated.remove(unrated.keys.first())
     }
 
     private companion object {
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RequestJournal.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RequestJournal.kt
@@ -39,6 +39,10 @@
     /** Another attempt follows, for [reason]. */
     public data class Retried(val reason: RetryReason) : RequestEvent
 
+    /** The answer of [from] was not accepted by its [score], so that [to] answers the request. */
+    public data class Escalated(val from: ModelVersionReference, val score: Double?, val to: ModelVersionReference) :
+        RequestEvent
+
     /** The whole answer arrived. */
     public data class Answered(val version: ModelVersionReference, val tokens: Int) : RequestEvent
 
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RunnerClient.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RunnerClient.kt
@@ -60,14 +60,14 @@
      * Sends [request] to [runner] and reports each token of the answer, in order, to [onToken].
      *
      * @param timeout time for the whole answer.
-     * @throws CallerGoneException from [onToken]; the attempt is cancelled at the runner then.
+     * @throws AttemptAbortedException from [onToken]; the attempt is cancelled at the runner then.
      */
     public fun stream(
         runner: RunnerView,
         attempt: AttemptId,
         request: ChatCompletionRequest,
         timeout: Duration,
-        onToken: (String) -> Unit,
+        onToken: (AnswerToken) -> Unit,
     ): AttemptResult {
         val body = PlatformJson.encodeToString(ChatCompletionRequest.serializer(), request)
         val httpRequest = Request.Builder()
@@ -112,7 +112,7 @@
         response: Response,
         attempt: AttemptId,
         request: ChatCompletionRequest,
-        onToken: (String) -> Unit,
+        onToken: (AnswerToken) -> Unit,
     ): AttemptResult {
         if (!response.isSuccessful) return refused(response)
         val assembler = AnswerAssembler(attempt, request.resumeOffset ?: 0, onToken)
@@ -139,6 +139,3 @@
         val JSON_MEDIA_TYPE = "application/json".toMediaType()
     }
 }
-
-/** The caller has closed its connection. */
-public class CallerGoneException(cause: IOException) : RuntimeException(cause)
--- a/entry/src/test/kotlin/io/quetzalfield/entry/CompletionAttemptsTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/CompletionAttemptsTest.kt
@@ -18,9 +18,6 @@
 private const val INNOCENTS = 24
 
 class CompletionAttemptsTest {
-    private fun wholeAnswer(text: String, tokens: Int = 20): String =
-        answerWords(request(text, tokens)).joinToString("")
-
     @Nested
     inner class CutStreams {
         @Test
--- a/entry/src/test/kotlin/io/quetzalfield/entry/EmbeddedFleet.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/EmbeddedFleet.kt
@@ -4,6 +4,7 @@
 import io.quetzalfield.decision.AllowanceShare
 import io.quetzalfield.decision.CheapestSufficientRouteChooser
 import io.quetzalfield.decision.RolloutRouteChooser
+import io.quetzalfield.decision.RouteChooser
 import io.quetzalfield.decision.RouteRequest
 import io.quetzalfield.model.ClientAccount
 import io.quetzalfield.model.ClientAccountId
@@ -35,6 +36,7 @@
 import io.quetzalfield.platform.fakes.InMemoryRatingService
 import io.quetzalfield.standins.RunnerFaults
 import io.quetzalfield.standins.RunnerStandIn
+import io.quetzalfield.standins.answerWords
 import okhttp3.OkHttpClient
 import java.util.concurrent.ConcurrentLinkedQueue
 
@@ -67,12 +69,18 @@
     ),
 )
 
+/** The whole answer that a stand-in gives to [text]. */
+internal fun wholeAnswer(text: String, tokens: Int = 20): String = answerWords(request(text, tokens)).joinToString("")
+
 /** What a caller saw of one completion. */
 internal class SeenAnswer(val text: String, val result: Either<RequestFailure, CompletionReport>)
 
 /** One entry's completion service before runners that stand in, all in this process. */
-internal class EmbeddedFleet(runnerCount: Int, allowance: AllowanceShare = AllowanceShare { 1_000_000.0 }) :
-    AutoCloseable {
+internal class EmbeddedFleet(
+    runnerCount: Int,
+    allowance: AllowanceShare = AllowanceShare { 1_000_000.0 },
+    routeChooser: RouteChooser = RolloutRouteChooser(CheapestSufficientRouteChooser()),
+) : AutoCloseable {
     private val directory = InMemoryInstanceDirectory()
     private val client = OkHttpClient()
     private val fleet = FleetView(directory)
@@ -88,12 +96,18 @@
         peers = peers,
         metrics = EntryMetrics(),
         ratingService = InMemoryRatingService(),
+        routing = learningRouting(),
         allowance = allowance,
     )
     private val service = CompletionService(
-        routeChooser = RolloutRouteChooser(CheapestSufficientRouteChooser()),
+        routeChooser = routeChooser,
         admission = control.admission,
-        attempts = control.attempts(FailureDomainId("domain-1"), RunnerClient(client)),
+        stages = CompletionStages(
+            attempts = control.attempts(FailureDomainId("domain-1"), RunnerClient(client)),
+            answers = control.answers,
+            metrics = EntryMetrics(),
+            journal = RequestJournal.None,
+        ),
         rollouts = control.rollouts,
         answers = control.answers,
         ledger = BillLedger(incarnation, InMemoryKeyValueStore()),
--- a/entry/src/test/kotlin/io/quetzalfield/entry/PeerServiceFixtures.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/PeerServiceFixtures.kt
@@ -1,9 +1,13 @@
 package io.quetzalfield.entry
 
+import io.quetzalfield.decision.CascadeSettings
+import io.quetzalfield.decision.DecisionWeights
+import io.quetzalfield.decision.LearningRouting
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.peer.PeerClients
 import io.quetzalfield.platform.fakes.InMemoryRatingService
 import okhttp3.OkHttpClient
+import kotlin.random.Random
 
 /** The control of an entry without any platform service behind it. */
 internal fun controlOf(
@@ -19,8 +23,13 @@
     peers = peers,
     metrics = EntryMetrics(),
     ratingService = InMemoryRatingService(),
+    routing = learningRouting(),
 )
 
+/** Routing that learns, with a fixed seed. */
+internal fun learningRouting(): LearningRouting =
+    LearningRouting(CascadeSettings(DecisionWeights.WateringAdvice), Random(1))
+
 /** A peer service that witnesses bills and takes no forwarded requests. */
 internal fun peerServiceOf(lists: ListsHolder, control: EntryControl): EntryPeerService = EntryPeerService(
     lists = lists,
--- a/entry/src/test/kotlin/io/quetzalfield/entry/RatingPipelineTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/RatingPipelineTest.kt
@@ -1,5 +1,6 @@
 package io.quetzalfield.entry
 
+import io.quetzalfield.decision.RatedAnswer
 import io.quetzalfield.model.AttemptId
 import io.quetzalfield.platform.AnswerToRate
 import io.quetzalfield.platform.Rating
@@ -10,10 +11,10 @@
 class RatingPipelineTest {
     private val service = InMemoryRatingService()
     private val own = mutableListOf<Rating>()
-    private val all = mutableListOf<Rating>()
+    private val all = mutableListOf<RatedAnswer>()
     private val pipeline = RatingPipeline(service, EntryMetrics(), own::add, all::add, queueCapacity = 3)
 
-    private fun answer(attempt: String) = AnswerToRate(AttemptId(attempt), OLD, "general", "question", "answer")
+    private fun answer(attempt: String) = AnswerToRate(AttemptId(attempt), OLD, kind = attempt, "question", "answer")
 
     private fun exchange(): List<String> {
         pipeline.handIn()
@@ -35,7 +36,7 @@
         service.submit(answer("foreign"))
         pipeline.offer(answer("mine"))
         assertEquals(listOf("mine"), exchange())
-        assertEquals(listOf("foreign", "mine"), all.map { it.attempt.value })
+        assertEquals(listOf("foreign", "mine"), all.map { it.kind })
         assertEquals(listOf("mine"), exchange())
     }
 }
--- a/standins/src/main/kotlin/io/quetzalfield/standins/RunnerStandIn.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/RunnerStandIn.kt
@@ -9,6 +9,7 @@
 import io.quetzalfield.platform.engine.ChatCompletionChunk
 import io.quetzalfield.platform.engine.ChatCompletionRequest
 import io.quetzalfield.platform.engine.ChatDelta
+import io.quetzalfield.platform.engine.ChoiceLogProbabilities
 import io.quetzalfield.platform.engine.EngineCacheEvent
 import io.quetzalfield.platform.engine.EngineLoad
 import io.quetzalfield.platform.engine.EngineOrder
@@ -16,6 +17,7 @@
 import io.quetzalfield.platform.engine.EngineRefusalCode
 import io.quetzalfield.platform.engine.REQUEST_ID_HEADER
 import io.quetzalfield.platform.engine.STREAM_END
+import io.quetzalfield.platform.engine.TokenLogProbability
 import io.quetzalfield.platform.engine.TokenUsage
 import io.quetzalfield.platform.engine.prefixHash
 import io.quetzalfield.support.EventStreamWriter
@@ -33,6 +35,8 @@
  * @property isLeaving new requests are refused; running ones finish.
  * @property cutAfterTokens the stream ends without its end marker after this many tokens.
  * @property crossedId chunks carry the id of another attempt.
+ * @property refusedVersion a version whose requests are refused as if it were not loaded.
+ * @property logProbability what is reported for each token, where the request asks for it.
  * @property crashOnText a request whose text contains this ends the process, or the connection in embedded use.
  */
 @Serializable
@@ -41,6 +45,8 @@
     val cutAfterTokens: Int? = null,
     val crossedId: Boolean = false,
     val crashOnText: String? = null,
+    val logProbability: Double = USUAL_LOG_PROBABILITY,
+    val refusedVersion: String? = null,
 )
 
 /** One request as the runner saw it; `GET /seen` answers all of them. */
@@ -127,7 +133,7 @@
         when {
             faults.isLeaving -> context.refuse(EngineRefusalCode.LEAVING, "the runner is leaving")
 
-            version !in order.versions ->
+            version !in order.versions || request.model == faults.refusedVersion ->
                 context.refuse(EngineRefusalCode.VERSION_NOT_LOADED, "${request.model} is not loaded")
 
             else -> run(context, request)
@@ -159,7 +165,7 @@
         for (offset in (request.resumeOffset ?: 0) until words.size) {
             if (offset == faults.cutAfterTokens || shouldCrash(request)) return
             if (tokenDelayMilliseconds > 0) Thread.sleep(tokenDelayMilliseconds)
-            events.send(tokenChunk(id, request.model, words[offset], offset))
+            events.send(tokenChunk(id, request, words[offset], offset))
         }
         val finish = ChatChunkChoice(finishReason = "stop")
         events.send(ChatCompletionChunk(id, model = request.model, choices = listOf(finish)))
@@ -169,13 +175,14 @@
         events.send(STREAM_END)
     }
 
-    private fun tokenChunk(id: String, model: String, word: String, offset: Int): ChatCompletionChunk =
-        ChatCompletionChunk(
-            id = id,
-            model = model,
-            choices = listOf(ChatChunkChoice(delta = ChatDelta(content = word))),
-            tokenOffset = offset,
+    private fun tokenChunk(id: String, request: ChatCompletionRequest, word: String, offset: Int): ChatCompletionChunk {
+        val logProbabilities = ChoiceLogProbabilities(listOf(TokenLogProbability(word, faults.logProbability)))
+        val choice = ChatChunkChoice(
+            delta = ChatDelta(content = word),
+            logProbabilities = logProbabilities.takeIf { request.logProbabilities == true },
         )
+        return ChatCompletionChunk(id, model = request.model, choices = listOf(choice), tokenOffset = offset)
+    }
 
     override fun close() {
         server.stop()
@@ -186,6 +193,7 @@
     }
 }
 
+private const val USUAL_LOG_PROBABILITY = -0.1
 private const val DEFAULT_ANSWER_TOKENS = 24
 private const val REFUSED_STATUS = 503
 
