--- a/decision/src/main/kotlin/io/quetzalfield/decision/AdmissionControl.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/AdmissionControl.kt
@@ -47,8 +47,7 @@
  * @property backgroundPressure the same for background requests.
  * @property largestPressure pressure from which nothing is admitted.
  * @property activeFor time since its last request in which an account counts as one that shares the capacity.
- * @property retryAfter least time after which a refused caller is told to come back; the answers are spread evenly
- * up to [retrySpread] times as long.
+ * @property retryAfter least time after which a refused caller is told to come back.
  */
 public data class AdmissionLimits(
     val interactivePressure: Double = 1.2,
@@ -57,7 +56,6 @@
     val largestPressure: Double = 2.0,
     val activeFor: Duration = 5.seconds,
     val retryAfter: Duration = 1.seconds,
-    val retrySpread: Double = 3.0,
 ) {
     /** The pressure up to which requests of [priority] are admitted whatever their account's share. */
     public fun freePressure(priority: RequestPriority): Double = when (priority) {
@@ -85,7 +83,7 @@
     private val allowance: AllowanceShare,
     private val limits: AdmissionLimits = AdmissionLimits(),
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
-    private val random: Random = Random.Default,
+    random: Random = Random.Default,
 ) {
     private class Account(val weight: Double, var lastAsked: ComparableTimeMark) {
         val window = TokenWindow()
@@ -96,6 +94,7 @@
         val accounts = HashMap<ClientAccountId, Account>()
     }
 
+    private val delays = RetryDelays(random = random)
     private val origin = timeSource.markNow()
     private val shards = List(SHARD_COUNT) { Shard() }
     private val inFlight = AtomicInteger()
@@ -126,13 +125,13 @@
             request.expectedDuration > request.deadline -> NotRun(
                 refusal = RefusalReason.DEADLINE_CANNOT_BE_MET,
                 message = "the answer would take ${request.expectedDuration}, more than ${request.deadline}",
-                retryAfter = spread(limits.retryAfter),
+                retryAfter = delays.after(limits.retryAfter),
             )
 
             isOverloaded(request, account, totalWeight) -> NotRun(
                 refusal = RefusalReason.OVERLOADED,
                 message = "runners are short and the account has ${account.inFlight} requests running",
-                retryAfter = spread(limits.retryAfter),
+                retryAfter = delays.after(limits.retryAfter),
             )
 
             else -> null
@@ -144,7 +143,7 @@
         return NotRun(
             refusal = RefusalReason.ALLOWANCE_SPENT,
             message = "the account has used ${account.window.sum} tokens in the last minute",
-            retryAfter = spread(account.window.timeUntilFreed(missing)),
+            retryAfter = delays.after(account.window.timeUntilFreed(missing)),
         )
     }
 
@@ -198,9 +197,6 @@
 
     private fun shardOf(account: ClientAccountId): Shard = shards[account.value.hashCode().mod(SHARD_COUNT)]
 
-    private fun spread(base: Duration): Duration =
-        base * synchronized(random) { 1.0 + random.nextDouble() * (limits.retrySpread - 1.0) }
-
     private companion object {
         const val SHARD_COUNT = 16
         val WEIGHT_REFRESH = 100.milliseconds
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionAttempts.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionAttempts.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import io.quetzalfield.decision.RetryBudget
+import io.quetzalfield.decision.RetryDelays
 import io.quetzalfield.decision.RunnerChooser
 import io.quetzalfield.decision.RunnerRequest
 import io.quetzalfield.decision.RunnerView
@@ -36,32 +37,39 @@
     private val observations: ObservationBook,
     private val metrics: EntryMetrics,
     private val journal: RequestJournal,
+    private val delays: RetryDelays = RetryDelays(),
 ) {
     /** Runs [run] to its end. */
     fun run(run: CompletionRun): Either<RequestFailure, AttemptResult.Complete> {
         retryBudget.earn(run.version)
         var failure: RequestFailure = noRunner(run)
         repeat(MAXIMUM_ATTEMPTS) { attempt ->
-            if (attempt > 0 && !mayRetry(run, failure)) return run.failureAfter(failure).left()
+            if (attempt > 0 && !mayRetry(run, failure)) return finalFailure(run, failure).left()
             when (val result = attemptOnce(run)) {
                 is AttemptResult.Complete -> return result.right()
 
                 is AttemptResult.Failed -> {
                     run.noteFailure(result.failure)
                     failure = result.failure
-                    if (isFinal(result.failure)) return run.failureAfter(failure).left()
+                    if (isFinal(result.failure)) return finalFailure(run, failure).left()
                 }
             }
         }
-        return run.failureAfter(failure).left()
+        return finalFailure(run, failure).left()
     }
 
     private fun noRunner(run: CompletionRun) = NotRun(
         refusal = RefusalReason.NO_RUNNER,
         message = "no runner serves ${run.version}",
-        retryAfter = NO_RUNNER_RETRY_AFTER,
     )
 
+    /** What the caller is told; a refusal for want of a runner says when to come back. */
+    private fun finalFailure(run: CompletionRun, failure: RequestFailure): RequestFailure {
+        val told = run.failureAfter(failure)
+        if (told !is NotRun || told.refusal !in RETRIED_REFUSALS) return told
+        return told.copy(retryAfter = delays.after(RETRY_AFTER))
+    }
+
     private fun isFinal(failure: RequestFailure): Boolean = when (failure) {
         is MayHaveRun -> failure.interruption == InterruptionReason.DEADLINE_PASSED
         is NotRun -> failure.refusal !in RETRIED_REFUSALS
@@ -193,7 +201,7 @@
 
     private companion object {
         const val MAXIMUM_ATTEMPTS = 3
-        val NO_RUNNER_RETRY_AFTER: Duration = 2.seconds
+        val RETRY_AFTER: Duration = 1.seconds
         val RETRIED_REFUSALS = setOf(RefusalReason.NO_RUNNER, RefusalReason.RUNNER_REFUSED)
     }
 }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CrashGuard.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CrashGuard.kt
@@ -5,6 +5,7 @@
 import arrow.core.right
 import io.quetzalfield.decision.CrashQuarantine
 import io.quetzalfield.decision.CrashVerdict
+import io.quetzalfield.decision.RetryDelays
 import io.quetzalfield.decision.RunnerView
 import io.quetzalfield.decision.rendezvousOrder
 import io.quetzalfield.model.InstanceId
@@ -12,7 +13,6 @@
 import io.quetzalfield.model.RefusalReason
 import io.quetzalfield.model.RequestFingerprint
 import io.quetzalfield.model.RunnerId
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -32,7 +32,7 @@
     private val exchange: FingerprintExchange,
     private val fleet: FleetView,
     private val metrics: EntryMetrics,
-    private val random: Random = Random.Default,
+    private val delays: RetryDelays = RetryDelays(),
 ) {
     private val slots = IsolationSlots()
 
@@ -45,7 +45,7 @@
         CrashVerdict.BUSY_ELSEWHERE -> NotRun(
             refusal = RefusalReason.SUSPECT_RUNS_ELSEWHERE,
             message = "a request with the same content lost its runner and runs alone now",
-            retryAfter = RETRY_AFTER * (1.0 + synchronized(random) { random.nextDouble() }),
+            retryAfter = delays.after(RETRY_AFTER),
         ).left()
 
         CrashVerdict.QUARANTINED -> NotRun(
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RequestAdmission.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RequestAdmission.kt
@@ -5,6 +5,7 @@
 import io.quetzalfield.decision.AdmissionRequest
 import io.quetzalfield.decision.Admitted
 import io.quetzalfield.decision.RequestedModel
+import io.quetzalfield.decision.RunnerView
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.NotRun
 import io.quetzalfield.model.VersionState
@@ -21,7 +22,8 @@
 
     /** Admits [call], or says at once why not. */
     fun admit(call: CompletionCall): Either<NotRun, Admitted> {
-        val pools = versionsFor(call).mapNotNull { pool(it, call.route.expectedTokens) }
+        val views = loads.views()
+        val pools = versionsFor(call).mapNotNull { pool(it, views, call.route.expectedTokens) }
         val request = AdmissionRequest(
             account = call.account.id,
             weight = call.account.weight,
@@ -48,10 +50,18 @@
         is RequestedModel.Exactly -> version == requested.version
     }
 
-    private fun pool(version: ModelVersionReference, tokens: Int): Pool? {
-        val pressure = loads.pressure(version) ?: return null
-        val answer = answerTimes.expected(version, tokens)
+    /** The runners of [version]; `null` without any. */
+    private fun pool(version: ModelVersionReference, views: List<RunnerView>, tokens: Int): Pool? {
+        var requests = 0
+        var slots = 0
+        for (view in views) {
+            if (version !in view.versions) continue
+            requests += view.expectedRequests
+            slots += view.slots
+        }
+        if (slots == 0) return null
+        val pressure = requests.toDouble() / slots
         val rounds = 1.0 + (pressure - 1.0).coerceAtLeast(0.0)
-        return Pool(pressure, answer * rounds)
+        return Pool(pressure, answerTimes.expected(version, tokens) * rounds)
     }
 }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RunnerLoadTracker.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RunnerLoadTracker.kt
@@ -35,6 +35,9 @@
     private class Load {
         @Volatile
         var report: EngineLoad? = null
+
+        @Volatile
+        var versions: Set<ModelVersionReference>? = null
         val inFlight = AtomicInteger()
 
         @Volatile
@@ -55,15 +58,6 @@
     /** The live runners that this entry follows, as the runner choice wants them. */
     public fun views(): List<RunnerView> = followed.filterNot(fleet::isLeaving).mapNotNull(::view)
 
-    /**
-     * Requests running and waiting at the runners of [version], divided by their slots; `null` without such a runner.
-     */
-    public fun pressure(version: ModelVersionReference): Double? {
-        val pool = views().filter { version in it.versions }
-        if (pool.isEmpty()) return null
-        return pool.sumOf(RunnerView::expectedRequests).toDouble() / pool.sumOf(RunnerView::slots)
-    }
-
     /** Whether [runner] says that it can continue an answer at an offset. */
     public fun canResume(runner: RunnerId): Boolean = loads[runner]?.report?.canResume ?: false
 
@@ -115,7 +109,7 @@
             id = id,
             address = runner.address,
             failureDomain = runner.failureDomain,
-            versions = (report?.versions ?: runner.versions).toSet(),
+            versions = load.versions ?: runner.versions.toSet(),
             slots = report?.slots ?: runner.slots,
             reportedRequests = report?.let { it.running + it.waiting } ?: 0,
             sentSinceReport = load.inFlight.get() - load.inFlightAtReport,
@@ -137,6 +131,7 @@
         val isRestarted = load.report != null && load.report?.start != report.start
         if (isRestarted) caches.forget(runner.id.toRunnerId())
         load.inFlightAtReport = load.inFlight.get()
+        load.versions = report.versions.toSet()
         load.report = report
         load.isReachable = true
         if (report.isLeaving) fleet.markLeaving(runner.id)
