--- a/benchmarks/src/main/kotlin/io/quetzalfield/benchmarks/Main.kt
+++ b/benchmarks/src/main/kotlin/io/quetzalfield/benchmarks/Main.kt
@@ -3,7 +3,13 @@
 import org.openjdk.jmh.runner.Runner
 import org.openjdk.jmh.runner.options.CommandLineOptions
 
-/** Runs the benchmarks with the arguments of JMH. */
+private const val ROLLOUTS = "rollouts"
+
+/** Runs the benchmarks with the arguments of JMH, or with the single argument `rollouts` the simulated roll-outs. */
 public fun main(arguments: Array<String>) {
-    Runner(CommandLineOptions(*arguments)).run()
+    if (arguments.singleOrNull() == ROLLOUTS) {
+        reportRollouts()
+    } else {
+        Runner(CommandLineOptions(*arguments)).run()
+    }
 }
