--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
@@ -78,12 +78,17 @@
 
     /** Starts the periodic tasks; they have threads of their own, as a slow rating service may hold them up. */
     fun start() {
-        scheduler.every(RATING_PERIOD, ratings::handIn)
-        scheduler.every(RATING_PERIOD, ratings::readRatings)
+        scheduler.every(RATING_PERIOD, ::exchangeRatings)
         scheduler.every(ROLLOUT_PERIOD, rollouts::check)
         scheduler.every(FINGERPRINT_PERIOD, exchange::exchangeWithNext)
     }
 
+    /** Hands in the answers that are queued, and reads the ratings that have come. */
+    fun exchangeRatings() {
+        ratings.handIn()
+        ratings.readRatings()
+    }
+
     fun answerFingerprints(request: FingerprintList): FingerprintList {
         val reply = exchange.answer(request)
         metrics.setQuarantined(quarantine.quarantinedCount)
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RequestAdmission.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RequestAdmission.kt
@@ -20,6 +20,9 @@
 ) {
     private class Pool(val pressure: Double, val expectedDuration: Duration)
 
+    /** How many admitted requests have not ended. */
+    val admittedRequests: Int get() = control.admittedRequests
+
     /** Admits [call], or says at once why not. */
     fun admit(call: CompletionCall): Either<NotRun, Admitted> {
         val views = loads.views()
--- a/entry/src/test/kotlin/io/quetzalfield/entry/CompletionAttemptsTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/CompletionAttemptsTest.kt
@@ -14,6 +14,8 @@
 import kotlin.test.assertIs
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 private const val INNOCENTS = 24
 
@@ -55,6 +57,19 @@
         }
     }
 
+    @Nested
+    inner class CallersThatGo {
+        @Test
+        fun `the runner stops at once when the caller has gone`() {
+            EmbeddedFleet(runnerCount = 1).use { fleet ->
+                fleet.askAndLeave(tokens = 3)
+                val start = TimeSource.Monotonic.markNow()
+                while (!fleet.isIdle()) check(start.elapsedNow() < 10.seconds) { "the runner goes on" }
+                assertEquals(0, fleet.control.admission.admittedRequests)
+            }
+        }
+    }
+
     @Nested
     inner class CrashingRequests {
         @Test
--- a/entry/src/test/kotlin/io/quetzalfield/entry/EmbeddedFleet.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/EmbeddedFleet.kt
@@ -26,17 +26,24 @@
 import io.quetzalfield.model.RequestFailure
 import io.quetzalfield.model.RequestId
 import io.quetzalfield.model.RequestKey
+import io.quetzalfield.model.SessionId
 import io.quetzalfield.model.VersionId
 import io.quetzalfield.peer.PeerClients
+import io.quetzalfield.platform.AnswerToRate
+import io.quetzalfield.platform.PlatformJson
 import io.quetzalfield.platform.engine.ChatCompletionRequest
 import io.quetzalfield.platform.engine.ChatMessage
+import io.quetzalfield.platform.engine.EngineLoad
 import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
 import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
 import io.quetzalfield.platform.fakes.InMemoryRatingService
 import io.quetzalfield.standins.RunnerFaults
 import io.quetzalfield.standins.RunnerStandIn
 import okhttp3.OkHttpClient
+import okhttp3.Request
+import java.io.IOException
 import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.test.assertFailsWith
 
 internal val OLD: ModelVersionReference = ModelVersionReference(ModelId("advisor"), VersionId("1"))
 internal val NEW: ModelVersionReference = ModelVersionReference(ModelId("advisor"), VersionId("2"))
@@ -71,23 +78,27 @@
 internal class SeenAnswer(val text: String, val result: Either<RequestFailure, CompletionReport>)
 
 /** One entry's completion service before runners that stand in, all in this process. */
-internal class EmbeddedFleet(runnerCount: Int, allowance: AllowanceShare = AllowanceShare { 1_000_000.0 }) :
-    AutoCloseable {
+internal class EmbeddedFleet(
+    runnerCount: Int,
+    allowance: AllowanceShare = AllowanceShare { 1_000_000.0 },
+    newShare: Double = 0.0,
+    judge: (AnswerToRate) -> Boolean = { true },
+) : AutoCloseable {
     private val directory = InMemoryInstanceDirectory()
     private val client = OkHttpClient()
     private val fleet = FleetView(directory)
     private val incarnation = Incarnation(InstanceId("entry-1"), "start")
     private val loads = RunnerLoadTracker(incarnation.instance, fleet, client)
     private val peers = PeerClients()
-    private val lists = ListsHolder().apply { adopt(listsWith()) }
-    private val control = EntryControl(
+    private val lists = ListsHolder().apply { adopt(listsWith(newShare = newShare)) }
+    val control = EntryControl(
         incarnation = incarnation,
         lists = lists,
         fleet = fleet,
         loads = loads,
         peers = peers,
         metrics = EntryMetrics(),
-        ratingService = InMemoryRatingService(),
+        ratingService = InMemoryRatingService(judge),
         allowance = allowance,
     )
     private val service = CompletionService(
@@ -152,7 +163,28 @@
         runners.forEach { it.setFaults(faults) }
     }
 
-    fun ask(text: String, tokens: Int = 20): SeenAnswer {
+    /** Asks for a long answer and goes after [tokens] tokens. */
+    fun askAndLeave(tokens: Int) {
+        var received = 0
+        val sink = object : CompletionSink {
+            override fun onStart(version: ModelVersionReference) = Unit
+
+            override fun onToken(text: String) {
+                if (++received == tokens) throw CallerGoneException(IOException("the caller has gone"))
+            }
+        }
+        assertFailsWith<CallerGoneException> { service.complete(call(request("long", LONG_ANSWER), null), sink) }
+    }
+
+    /** Whether the runners themselves say now that no request runs. */
+    fun isIdle(): Boolean = runners.all { runner ->
+        val request = Request.Builder().url("http://127.0.0.1:${runner.port}/v1/load").build()
+        client.newCall(request).execute().use { response ->
+            PlatformJson.decodeFromString(EngineLoad.serializer(), response.body.string()).running == 0
+        }
+    }
+
+    fun ask(text: String, tokens: Int = 20, pin: SessionPin? = null): SeenAnswer {
         val received = StringBuilder()
         val sink = object : CompletionSink {
             override fun onStart(version: ModelVersionReference) = Unit
@@ -161,11 +193,11 @@
                 received.append(text)
             }
         }
-        val result = service.complete(call(request(text, tokens)), sink)
+        val result = service.complete(call(request(text, tokens), pin), sink)
         return SeenAnswer(received.toString(), result)
     }
 
-    private fun call(body: ChatCompletionRequest): CompletionCall {
+    private fun call(body: ChatCompletionRequest, pin: SessionPin?): CompletionCall {
         val snapshot = lists.snapshot
         val plan = checkNotNull(snapshot.plan(PlanId("plan")))
         return CompletionCall(
@@ -175,7 +207,7 @@
             plan = plan,
             key = RequestKey("key"),
             route = RouteRequest(plan, kind = "general", expectedTokens = body.maximumTokens ?: 1),
-            pin = null,
+            pin = pin,
             body = body,
         )
     }
@@ -187,6 +219,7 @@
     }
 
     private companion object {
+        const val LONG_ANSWER = 10_000
         const val REPORT_TIMEOUT_NANOSECONDS = 10_000_000_000L
     }
 }
