Show the lists in force also while the key-value service is out

Cause: show ended with exit code 4 in an outage, when an operator needs it most; ages showed nanoseconds. Ruled out: nothing else was weighed. Ages show milliseconds. A test of the command covers the outage. After: mvn -B -pl operator,entry -am test passes.

--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryStatus.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryStatus.kt
@@ -14,6 +14,8 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.builtins.MapSerializer
 import kotlinx.serialization.builtins.serializer
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
 /** Ages, in seconds, of the state that an entry holds copies of. */
@@ -52,12 +54,15 @@
 /** The section that shows [ages]. */
 internal fun agesSection(ages: StateAges): StatusSection = statusSection("age in seconds", HeldStateAges.serializer()) {
     HeldStateAges(
-        lists = ages.age(HeldState.Lists).toDouble(DurationUnit.SECONDS),
-        instances = ages.age(HeldState.Instances).toDouble(DurationUnit.SECONDS),
-        loadReports = ages.reportAges().mapValues { it.value.toDouble(DurationUnit.SECONDS) },
+        lists = ages.age(HeldState.Lists).inSeconds,
+        instances = ages.age(HeldState.Instances).inSeconds,
+        loadReports = ages.reportAges().mapValues { it.value.inSeconds },
     )
 }
 
+/** This time in seconds, without what is below a millisecond. */
+private val Duration.inSeconds: Double get() = inWholeMilliseconds.milliseconds.toDouble(DurationUnit.SECONDS)
+
 /** The section that shows how many requests run. */
 internal fun requestsSection(gate: ShutdownGate): StatusSection =
     statusSection("requests", RequestCounts.serializer()) { RequestCounts(gate.runningRequests, gate.isClosed) }
--- a/operator/src/main/kotlin/io/quetzalfield/operator/FleetStatusText.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/FleetStatusText.kt
@@ -2,6 +2,7 @@
 
 import com.github.ajalt.mordant.rendering.TextColors
 import com.github.ajalt.mordant.rendering.TextStyles
+import io.quetzalfield.model.ListsRevision
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
@@ -11,11 +12,14 @@
 private const val INDENT = "  "
 
 /** The revision of the stored lists and of each daemon, a line each. */
-internal fun FleetStatus.toRevisionLines(): List<String> =
-    listOf("stored: ${storedRevision?.let { "revision $it" } ?: "the key-value service does not answer"}") +
-        daemons.filter { it.status == null || it.status.listsRevision != null }.map { daemon ->
-            "${daemon.instance}: ${daemon.problem ?: "revision ${daemon.status?.listsRevision}"}"
-        }
+internal fun FleetStatus.toRevisionLines(): List<String> = listOf(storedLine(storedRevision)) +
+    daemons.filter { it.status == null || it.status.listsRevision != null }.map { daemon ->
+        "${daemon.instance}: ${daemon.problem ?: "revision ${daemon.status?.listsRevision}"}"
+    }
+
+/** The line that shows the revision of the stored lists; `null` stands for no answer. */
+internal fun storedLine(revision: ListsRevision?): String =
+    "stored: ${revision?.let { "revision $it" } ?: "the key-value service does not answer"}"
 
 /** Everything that the daemons say, indented by its depth. */
 internal fun FleetStatus.toLines(): List<String> = toRevisionLines() + dutyLines() + daemons.flatMap { it.toLines() }
--- a/operator/src/main/kotlin/io/quetzalfield/operator/ShowCommand.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ShowCommand.kt
@@ -1,5 +1,6 @@
 package io.quetzalfield.operator
 
+import arrow.core.Either
 import arrow.core.getOrElse
 import com.charleskorn.kaml.Yaml
 import com.github.ajalt.clikt.parameters.groups.provideDelegate
@@ -8,13 +9,18 @@
 import io.quetzalfield.model.ClientPlanList
 import io.quetzalfield.model.ListsRevision
 import io.quetzalfield.model.ModelList
+import io.quetzalfield.platform.KeyValueError
 import kotlinx.serialization.Serializable
 import java.nio.file.Files
 import java.nio.file.Path
 
-/** The result of `show`: the stored revision, and what each live entry has in force. */
+/**
+ * The result of `show`: the stored revision, and what each live entry has in force.
+ *
+ * @property storedRevision `null` when the key-value service did not answer.
+ */
 @Serializable
-private data class ShowReport(val storedRevision: ListsRevision, val entries: List<EntryRevision>)
+private data class ShowReport(val storedRevision: ListsRevision?, val entries: List<EntryRevision>)
 
 /** Shows which lists are stored and in force, and writes the stored ones into files to edit. */
 internal class ShowCommand(connector: PlatformConnector) :
@@ -26,19 +32,19 @@
     override fun run() {
         val connection = platform.connect()
         val stored = ListsStore(connection.store).read()
-            .getOrElse { fail(ExitCode.PLATFORM_SILENT, listOf(it.message)) }
+        export?.let { directory -> export(stored, directory) }
         val entries = connection.entryRevisions()
             ?: fail(ExitCode.PLATFORM_SILENT, listOf("the list of instances cannot be had"))
-        export?.let { directory -> stored.writeTo(directory) }
-        report(ShowReport.serializer(), ShowReport(stored.lists?.revision ?: ListsRevision.None, entries)) { report ->
-            listOf("stored: revision ${report.storedRevision}") + report.entries.map { "$it" }
+        val revision = stored.getOrNull()?.let { it.lists?.revision ?: ListsRevision.None }
+        report(ShowReport.serializer(), ShowReport(revision, entries)) { report ->
+            listOf(storedLine(report.storedRevision)) + report.entries.map { "$it" }
         }
     }
 
-    private fun StoredLists.writeTo(directory: Path) {
-        val current = lists ?: return
-        val plans = Yaml.default.encodeToString(ClientPlanList.serializer(), current.plans)
-        val models = Yaml.default.encodeToString(ModelList.serializer(), current.models)
+    private fun export(stored: Either<KeyValueError, StoredLists>, directory: Path) {
+        val lists = stored.getOrElse { fail(ExitCode.PLATFORM_SILENT, listOf(it.message)) }.lists ?: return
+        val plans = Yaml.default.encodeToString(ClientPlanList.serializer(), lists.plans)
+        val models = Yaml.default.encodeToString(ModelList.serializer(), lists.models)
         Files.writeString(directory.resolve("plans.yaml"), plans)
         Files.writeString(directory.resolve("models.yaml"), models)
     }
--- a/operator/src/test/kotlin/io/quetzalfield/operator/QuetzalfieldCommandTest.kt
+++ b/operator/src/test/kotlin/io/quetzalfield/operator/QuetzalfieldCommandTest.kt
@@ -188,6 +188,15 @@
             val result = run("show", "--platform", "http://platform")
             assertEquals("stored: revision 1\nentry-1: revision 0\n", result.stdout)
         }
+
+        @Test
+        fun `the entries show also while the store is down`() {
+            platform.addEntry("entry-1") { ListsRevision(4) }
+            platform.store.isDown = true
+            val result = run("show", "--platform", "http://platform")
+            val expected = "stored: the key-value service does not answer\nentry-1: revision 4\n"
+            assertEquals(0 to expected, result.statusCode to result.stdout)
+        }
     }
 
     @Nested
