--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -7,6 +7,7 @@
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.model.ListsRevision
 import io.quetzalfield.peer.PeerClients
 import io.quetzalfield.peer.PeerServer
 import io.quetzalfield.platform.EtcdGatewayKeyValueStore
@@ -36,16 +37,33 @@
     private val client = newClient()
     private val metrics = EntryMetrics()
     private val lists = ListsHolder()
-    private val ages = StateAges().also { it.register(metrics.registry) }
+    private val currency = ListsCurrency(settings.listsStaleAfter)
+    private val ages = StateAges().also { it.register(metrics.registry, currency) }
     private val sessions = SessionCounts(metrics.registry)
     private val journal = BoundedRequestJournal()
     private val fleet = FleetView(directory, ages)
     private val loads = RunnerLoadTracker(fleet, client, ages)
-    private val ledger = BillLedger(incarnation, store)
     private val gate = ShutdownGate()
     private val peers = PeerClients()
-    private val peerServer = startPeerServer()
-    private val distribution = ListsDistribution(incarnation, lists, fleet, peers, store, ages)
+    private val scheduler = newScheduler("entry")
+    private val billedKeys = BilledKeys()
+    private val ledger = BillLedger(
+        process = incarnation,
+        store = store,
+        witness = PeerBillWitness(settings.instance, settings.failureDomain, fleet, peers),
+        billedKeys = billedKeys,
+        observer = metrics::countBill,
+    )
+    private val distribution = ListsDistribution(
+        incarnation = incarnation,
+        ownFailureDomain = settings.failureDomain,
+        lists = lists,
+        currency = currency,
+        fleet = fleet,
+        peers = peers,
+        store = store,
+    )
+    private val decisionLists = CurrentLists(lists, distribution::isCurrent)
     private val completions = CompletionService(
         ownFailureDomain = settings.failureDomain,
         routeChooser = CheapestSufficientRouteChooser(),
@@ -57,11 +75,25 @@
         metrics = metrics,
         journal = journal,
     )
+    private val services = ServiceCallService(incarnation, ServiceClient(fleet, client), store)
+    private val sessionTokens = SignedTokens("session", SessionPin.serializer())
+    private val ticketTokens = SignedTokens("ticket", Ticket.serializer())
+    private val requests = CallerRequests(
+        reader = CompletionReader(sessionTokens),
+        completions = KeyedCompletions(completions),
+        services = services,
+        ticketTokens = ticketTokens,
+        forwarder = Forwarder(incarnation, fleet, peers, scheduler, metrics),
+        metrics = metrics,
+    )
     private val callerApi = CallerApi(
-        lists = lists,
+        lists = decisionLists,
         fleet = fleet,
         completions = completions,
-        services = ServiceCallService(incarnation, fleet, client),
+        services = services,
+        requests = requests,
+        sessionTokens = sessionTokens,
+        ticketTokens = ticketTokens,
         addressValidity = settings.addressValidity,
         metrics = metrics,
         gate = gate,
@@ -72,16 +104,16 @@
         lists = lists,
         journal = journal,
         sections = listOf(
-            agesSection(ages),
+            agesSection(ages, currency),
             requestsSection(gate),
             versionsSection(lists),
             sessionsSection(sessions),
             billsSection(lists, ledger),
         ),
     )
+    private val peerServer = startPeerServer()
     private val server: Javalin = startCallerServer()
     private val operatorServer: Javalin = startOperatorServer()
-    private val scheduler = newScheduler("entry")
 
     /** The metrics that the entry exposes. */
     internal val registry: PrometheusRegistry get() = metrics.registry
@@ -90,12 +122,11 @@
         registerEntryGauges(registry, gate, lists)
         fleet.refresh()
         announce(isLeaving = false)
-        distribution.start()
         scheduler.every(settings.listRefresh) {
             fleet.refresh()
             announce(isLeaving = gate.isClosed)
         }
-        scheduler.every(settings.listRefresh, distribution::exchangeWithPeers)
+        scheduler.every(settings.listRefresh, distribution::refresh)
         scheduler.every(settings.loadRefresh, loads::refresh)
         scheduler.every(settings.billFlush, ledger::flush)
         logger.info("entry {} serves callers at {} and peers at {}", incarnation, callerAddress, peerAddress)
@@ -105,6 +136,9 @@
     public val callerAddress: String
         get() = "http://${HostPort.parse(settings.callerAddress)?.host}:${server.port()}"
 
+    /** The revision of the lists in force. */
+    public val listsRevision: ListsRevision get() = lists.revision
+
     /** The address at which operators are answered. */
     public val operatorAddress: String
         get() = "http://${HostPort.parse(settings.operatorAddress)?.host}:${operatorServer.port()}"
@@ -132,7 +166,13 @@
 
     private fun startPeerServer(): PeerServer {
         val address = requireNotNull(HostPort.parse(settings.peerAddress)) { "checked with the settings" }
-        return PeerServer(address.host, address.port, EntryPeerService(lists))
+        val peerService = EntryPeerService(
+            lists = lists,
+            witnessedBills = WitnessedBills(billedKeys),
+            forwarded = ForwardedRequests(decisionLists, gate, requests),
+            onNewLists = distribution::spread,
+        )
+        return PeerServer(address.host, address.port, peerService)
     }
 
     private fun announce(isLeaving: Boolean) {
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryStatus.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryStatus.kt
@@ -5,6 +5,7 @@
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.RequestId
 import io.quetzalfield.model.RunnerId
+import io.quetzalfield.platform.bills.BillTotals
 import io.quetzalfield.support.status.DaemonStatus
 import io.quetzalfield.support.status.RequestExplanation
 import io.quetzalfield.support.status.RequestSummary
@@ -51,14 +52,15 @@
     }
 }
 
-/** The section that shows [ages]. */
-internal fun agesSection(ages: StateAges): StatusSection = statusSection("age in seconds", HeldStateAges.serializer()) {
-    HeldStateAges(
-        lists = ages.age(HeldState.Lists).inSeconds,
-        instances = ages.age(HeldState.Instances).inSeconds,
-        loadReports = ages.reportAges().mapValues { it.value.inSeconds },
-    )
-}
+/** The section that shows [ages], and the age of the lists by [currency]. */
+internal fun agesSection(ages: StateAges, currency: ListsCurrency): StatusSection =
+    statusSection("age in seconds", HeldStateAges.serializer()) {
+        HeldStateAges(
+            lists = currency.age.inSeconds,
+            instances = ages.age(HeldState.Instances).inSeconds,
+            loadReports = ages.reportAges().mapValues { it.value.inSeconds },
+        )
+    }
 
 /** This time in seconds, without what is below a millisecond. */
 private val Duration.inSeconds: Double get() = inWholeMilliseconds.milliseconds.toDouble(DurationUnit.SECONDS)
