--- a/steward/src/main/kotlin/io/quetzalfield/steward/DutyStatus.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/DutyStatus.kt
@@ -2,7 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import io.quetzalfield.platform.DutyRoster
+import io.quetzalfield.platform.DutyLease
 import io.quetzalfield.support.status.StatusSection
 import io.quetzalfield.support.status.statusSection
 import kotlinx.serialization.Serializable
@@ -18,20 +18,18 @@
 @Serializable
 public data class DutyStatus(val isHeld: Boolean, val fencingNumber: Long?)
 
-/** The section that shows the duties of [roster]. */
-internal fun dutiesSection(roster: DutyRoster): StatusSection =
+/** The section that shows the duties behind [leases]. */
+internal fun dutiesSection(leases: Collection<DutyLease>): StatusSection =
     statusSection("duties", MapSerializer(String.serializer(), DutyStatus.serializer())) {
-        roster.duties.mapValues { (_, held) -> DutyStatus(held != null, held?.fencingNumber) }
+        leases.associate { lease -> lease.name to DutyStatus(lease.held != null, lease.held?.fencingNumber) }
     }
 
-/** Adds a gauge that says which duties of [roster] this steward holds to [registry]. */
-internal fun registerDuties(roster: DutyRoster, registry: PrometheusRegistry) {
+/** Adds a gauge that says which of [leases] this steward holds to [registry]. */
+internal fun registerDuties(leases: Collection<DutyLease>, registry: PrometheusRegistry) {
     GaugeWithCallback.builder()
         .name("quetzalfield_duty_held")
         .help("1 while this steward holds the duty, else 0")
         .labelNames("duty")
-        .callback { gauge ->
-            roster.duties.forEach { (name, held) -> gauge.call(if (held != null) 1.0 else 0.0, name) }
-        }
+        .callback { gauge -> leases.forEach { gauge.call(if (it.held != null) 1.0 else 0.0, it.name) } }
         .register(registry)
 }
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -38,25 +38,22 @@
     private val directory: InstanceDirectory = HttpInstanceDirectory(settings.platformAddress),
 ) : AutoCloseable {
     private val incarnation = Incarnation(settings.instance, UUID.randomUUID().toString())
+    private val peers = PeerClients()
 
     /** The metrics that the steward exposes. */
     internal val registry: PrometheusRegistry = PrometheusRegistry()
-    private val peers = PeerClients()
 
     @Volatile
     private var stewards: List<ListedInstance> = emptyList()
-    private val roster = DutyRoster(
-        leases = listOf(BILL_DUTY).associateWith(::newLease),
-        rank = ::rankFor,
-        patience = settings.leaseTimeToLive,
-    )
+    private val leases = listOf(BILL_DUTY).associateWith(::newLease)
+    private val roster = DutyRoster(leases, rank = ::rankFor, patience = settings.leaseTimeToLive)
     private val billDuty = newBillDuty()
-    private val sections: List<StatusSection> = listOf(dutiesSection(roster))
+    private val sections: List<StatusSection> = listOf(dutiesSection(leases.values))
     private val server: Javalin = startOperatorServer()
     private val scheduler = newScheduler("steward")
 
     init {
-        registerDuties(roster, registry)
+        registerDuties(leases.values, registry)
         scheduler.every(settings.dutyPeriod) {
             announce()
             stewards = directory.instances().getOrNull().orEmpty().filter { it.kind == InstanceKind.STEWARD }
