Count and explain a reused key's refusal and a repeated answer

Cause: KeyedCompletions refused a key that was used for another request without a count, and gave kept answers again without a trace, so that 'explain' did not know those requests. Ruled out: counting in the writer (it also writes failures that are counted already). Change: both record their events and the refusal is counted; KeyedCompletions takes what runs a completion as a function, so that its test needs no runner.

--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
@@ -116,14 +116,7 @@
             .onLeft { failure -> noteFailure(call, failure) }
 
     private fun received(call: CompletionCall): Either<RequestFailure, CompletionCall> {
-        val event = RequestEvent.Received(
-            account = call.account.id,
-            plan = call.plan.id,
-            key = call.key,
-            revision = call.snapshot.revision,
-            kind = call.route.kind,
-        )
-        journal.record(call.id, event)
+        journal.record(call.id, call.toReceivedEvent())
         return call.right()
     }
 
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -80,7 +80,7 @@
     private val ticketTokens = SignedTokens("ticket", Ticket.serializer())
     private val requests = CallerRequests(
         reader = CompletionReader(sessionTokens),
-        completions = KeyedCompletions(completions),
+        completions = KeyedCompletions(completions::complete, metrics, journal),
         services = services,
         ticketTokens = ticketTokens,
         forwarder = Forwarder(incarnation, fleet, peers, scheduler, metrics),
--- a/entry/src/main/kotlin/io/quetzalfield/entry/Explanations.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/Explanations.kt
@@ -33,6 +33,7 @@
     val outcome = when {
         failed != null -> failed.failure.reason
         events.any { it.event is RequestEvent.Answered } -> "answered"
+        events.any { it.event is RequestEvent.Repeated } -> "repeated"
         else -> "running"
     }
     return RequestSummary(request, received?.account, outcome)
@@ -94,6 +95,8 @@
 
     is RequestEvent.Billed -> if (isBilled) "billed, $priceMicros millionths" else "the key was billed before"
 
+    is RequestEvent.Repeated -> "the kept answer of $version was given again; nothing was run or billed"
+
     is RequestEvent.Failed -> "ended without a whole answer: ${failure.reason}, ${failure.message}"
 
     else -> "$this"
--- a/entry/src/main/kotlin/io/quetzalfield/entry/KeyedCompletions.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/KeyedCompletions.kt
@@ -14,33 +14,45 @@
  * all the same, as bills go by the key.
  */
 internal class KeyedCompletions(
-    private val completions: CompletionService,
+    private val run: (CompletionCall, CompletionSink) -> Either<RequestFailure, CompletionReport>,
+    private val metrics: EntryMetrics,
+    private val journal: RequestJournal,
     private val answers: KeptAnswers = KeptAnswers(),
 ) {
     fun complete(call: CompletionCall, body: String, sink: CompletionSink): Either<RequestFailure, CompletionReport> {
-        if (!call.isKeyedByCaller) return completions.complete(call, sink)
+        if (!call.isKeyedByCaller) return run(call, sink)
         val key = AccountKey(call.account.id, call.key)
         val fingerprint = RequestFingerprint(sha256(body))
         return when (val known = answers.begin(key, fingerprint)) {
-            is KnownKey.Unanswered -> run(call, key, fingerprint, sink)
-            is KnownKey.Answered -> repeat(known.answer, sink).right()
-            is KnownKey.UsedForAnother -> NotRun(RefusalReason.IDEMPOTENCY_KEY_REUSED, REUSED_MESSAGE).left()
+            is KnownKey.Unanswered -> runAndKeep(call, key, fingerprint, sink)
+            is KnownKey.Answered -> repeat(call, known.answer, sink).right()
+            is KnownKey.UsedForAnother -> refuse(call).left()
         }
     }
 
-    private fun run(
+    private fun runAndKeep(
         call: CompletionCall,
         key: AccountKey,
         fingerprint: RequestFingerprint,
         sink: CompletionSink,
     ): Either<RequestFailure, CompletionReport> {
         val recording = RecordingSink(sink)
-        return completions.complete(call, recording).onRight { report ->
+        return run(call, recording).onRight { report ->
             answers.keep(key, fingerprint, recording.toAnswer(report))
         }
     }
 
-    private fun repeat(answer: KeptAnswer, sink: CompletionSink): CompletionReport {
+    private fun refuse(call: CompletionCall): RequestFailure {
+        val failure = NotRun(RefusalReason.IDEMPOTENCY_KEY_REUSED, REUSED_MESSAGE)
+        metrics.countFailure(failure)
+        journal.record(call.id, call.toReceivedEvent())
+        journal.record(call.id, RequestEvent.Failed(failure))
+        return failure
+    }
+
+    private fun repeat(call: CompletionCall, answer: KeptAnswer, sink: CompletionSink): CompletionReport {
+        journal.record(call.id, call.toReceivedEvent())
+        journal.record(call.id, RequestEvent.Repeated(answer.report.version))
         answer.replay(sink)
         return answer.report.copy(isBilled = false)
     }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RequestJournal.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RequestJournal.kt
@@ -45,6 +45,9 @@
     /** The answer was billed, or was found to be billed before. */
     public data class Billed(val priceMicros: Long, val isBilled: Boolean) : RequestEvent
 
+    /** The kept answer of an earlier request with the same key was given again; nothing was run or billed. */
+    public data class Repeated(val version: ModelVersionReference) : RequestEvent
+
     /** The request ended without a whole answer. */
     public data class Failed(val failure: RequestFailure) : RequestEvent
 }
@@ -59,3 +62,12 @@
         public val None: RequestJournal = RequestJournal { _, _ -> }
     }
 }
+
+/** The event that notes the arrival of this call. */
+internal fun CompletionCall.toReceivedEvent(): RequestEvent.Received = RequestEvent.Received(
+    account = account.id,
+    plan = plan.id,
+    key = key,
+    revision = snapshot.revision,
+    kind = route.kind,
+)
--- a/entry/src/test/kotlin/io/quetzalfield/entry/ExplanationsTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/ExplanationsTest.kt
@@ -110,6 +110,7 @@
             val cases = mapOf(
                 "running" to timed(received, decided, first),
                 "answered" to timed(received, RequestEvent.Answered(small, 1)),
+                "repeated" to timed(received, RequestEvent.Repeated(small)),
                 "runner_refused" to timed(received, RequestEvent.Failed(refusal)),
             )
             for ((outcome, events) in cases) assertEquals(outcome, summarise(request, events).outcome)
