--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -41,7 +41,8 @@
     private val client = newClient()
     private val metrics = EntryMetrics()
     private val lists = ListsHolder()
-    private val ages = StateAges().also { it.register(metrics.registry) }
+    private val currency = ListsCurrency(settings.listsStaleAfter)
+    private val ages = StateAges().also { it.register(metrics.registry, currency) }
     private val sessions = SessionCounts(metrics.registry)
     private val journal = BoundedRequestJournal()
     private val fleet = FleetView(directory, ages)
@@ -61,11 +62,10 @@
         incarnation = incarnation,
         ownFailureDomain = settings.failureDomain,
         lists = lists,
-        currency = ListsCurrency(settings.listsStaleAfter),
+        currency = currency,
         fleet = fleet,
         peers = peers,
         store = store,
-        ages = ages,
     )
     private val routing = LearningRouting(CascadeSettings(settings.decisionPreset.weights), Random.Default)
     private val control = EntryControl(incarnation, lists, fleet, loads, peers, metrics, ratingService, routing)
@@ -90,7 +90,7 @@
     private val ticketTokens = SignedTokens("ticket", Ticket.serializer())
     private val requests = CallerRequests(
         reader = CompletionReader(sessionTokens),
-        completions = KeyedCompletions(completions),
+        completions = KeyedCompletions(completions::complete, metrics, journal),
         services = services,
         ticketTokens = ticketTokens,
         forwarder = Forwarder(incarnation, fleet, peers, scheduler, metrics),
@@ -114,7 +114,7 @@
         lists = lists,
         journal = journal,
         sections = listOf(
-            agesSection(ages),
+            agesSection(ages, currency),
             requestsSection(gate),
             versionsSection(lists),
             sessionsSection(sessions),
--- a/entry/src/main/kotlin/io/quetzalfield/entry/ListsDistribution.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ListsDistribution.kt
@@ -13,7 +13,6 @@
 import io.quetzalfield.platform.LISTS_KEY
 import io.quetzalfield.platform.StoreWatch
 import kotlin.random.Random
-import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -33,7 +32,6 @@
     private val store: KeyValueStore,
     private val random: Random = Random.Default,
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
-    private val ages: StateAges = StateAges(),
 ) : AutoCloseable {
     private var watch: StoreWatch? = null
     private var lastRead = timeSource.markNow() - READ_PERIOD
@@ -64,16 +62,11 @@
         val askedAt = timeSource.markNow()
         lastRead = askedAt
         store.read(LISTS_KEY).onRight { stored ->
-            noteContact(askedAt)
+            currency.noteContact(askedAt)
             stored?.let { adopt(it.value) }
         }
     }
 
-    private fun noteContact(askedAt: ComparableTimeMark) {
-        currency.noteContact(askedAt)
-        ages.confirm(HeldState.Lists)
-    }
-
     private fun unfollowStore() {
         watch?.close()
         watch = null
@@ -96,7 +89,7 @@
             .build()
         val askedAt = timeSource.markNow()
         peers.call(address, EXCHANGE_TIMEOUT) { it.exchangeLists(offer) }.onRight { reply ->
-            noteContact(askedAt)
+            currency.noteContact(askedAt)
             if (!reply.lists.isEmpty) adopt(reply.lists.toStringUtf8())
             if (reply.revision < lists.revision.value) push(address)
         }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/StateAges.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/StateAges.kt
@@ -11,9 +11,6 @@
 
 /** State of others that an entry holds a copy of. */
 public sealed interface HeldState {
-    /** The operators' lists. */
-    public data object Lists : HeldState
-
     /** The platform's list of instances. */
     public data object Instances : HeldState
 
@@ -43,14 +40,14 @@
     public fun reportAges(): Map<RunnerId, Duration> =
         confirmed.keys.filterIsInstance<HeldState.LoadReport>().associate { it.runner to age(it) }
 
-    /** Adds the gauges of these ages to [registry]. */
-    public fun register(registry: PrometheusRegistry) {
+    /** Adds the gauges of these ages, and of the lists by [currency], to [registry]. */
+    public fun register(registry: PrometheusRegistry, currency: ListsCurrency) {
         GaugeWithCallback.builder()
             .name("quetzalfield_state_age_seconds")
             .help("Time since the held state was last confirmed; for load reports, of the oldest one")
             .labelNames("state")
             .callback { gauge ->
-                gauge.call(age(HeldState.Lists).inSeconds, "lists")
+                gauge.call(currency.age.inSeconds, "lists")
                 gauge.call(age(HeldState.Instances).inSeconds, "instances")
                 gauge.call((reportAges().values.maxOrNull() ?: Duration.ZERO).inSeconds, "load_reports")
             }
--- a/entry/src/test/kotlin/io/quetzalfield/entry/OperatingPageTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/OperatingPageTest.kt
@@ -2,6 +2,7 @@
 
 import io.quetzalfield.model.InterruptionReason
 import io.quetzalfield.model.RefusalReason
+import io.quetzalfield.support.parseYaml
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.test.Test
@@ -33,4 +34,16 @@
         val documented = table("### Settings of an entry").map { it[0] to it[1].isNotEmpty() }
         assertEquals(keys.sortedBy { it.first }, documented.sortedBy { it.first })
     }
+
+    @Test
+    fun `the page tells the defaults of an entry`() {
+        val required = Files.readString(Path.of("..", "examples", "settings", "entry.yaml")).lines()
+            .filterNot { it.startsWith("operatorAddress") || it.startsWith("addressValidity") }
+            .joinToString("\n")
+        val defaults = table("### Settings of an entry").filter { it[1].isNotEmpty() }
+            .joinToString("\n") { (key, default) -> "$key: $default" }
+        val serializer = EntrySettings.serializer()
+        val expected = parseYaml("defaults", required, serializer)
+        assertEquals(expected, parseYaml("documented", "$required\n$defaults", serializer))
+    }
 }
