Record histories as JSON lines and check every promise over them

Cause: the points that must always hold had no checker, so no test could say of a run that all of them held.

--- /dev/null
+++ b/history/src/main/kotlin/io/quetzalfield/history/HistoryEvent.kt
@@ -0,0 +1,162 @@
+package io.quetzalfield.history
+
+import io.quetzalfield.model.AttemptId
+import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.ListsRevision
+import io.quetzalfield.model.ModelVersionReference
+import io.quetzalfield.model.OperatorLists
+import io.quetzalfield.model.RequestId
+import io.quetzalfield.model.RequestKey
+import io.quetzalfield.model.SessionId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+
+/** A wall-clock time of the machine that recorded the history, in milliseconds since 1970. */
+@Serializable
+@JvmInline
+public value class HistoryTime(public val milliseconds: Long) : Comparable<HistoryTime> {
+    override fun compareTo(other: HistoryTime): Int = milliseconds.compareTo(other.milliseconds)
+
+    public operator fun plus(duration: Duration): HistoryTime = HistoryTime(milliseconds + duration.inWholeMilliseconds)
+
+    public operator fun minus(duration: Duration): HistoryTime = plus(-duration)
+
+    override fun toString(): String = "$milliseconds ms"
+}
+
+/** What a request asks for. */
+@Serializable
+public enum class RequestOperation { COMPLETION, REPEATABLE_OPERATION, NON_IDEMPOTENT_OPERATION }
+
+/** Something that a caller, an endpoint, an operator or the platform saw. */
+@Serializable
+public sealed interface HistoryEvent {
+    /** When it was seen. */
+    public val at: HistoryTime
+
+    /** The platform accepted [lists]. */
+    @Serializable
+    @SerialName("lists_accepted")
+    public data class ListsAccepted(override val at: HistoryTime, val lists: OperatorLists) : HistoryEvent
+
+    /** The lists of [revision] were in force at [entry]. */
+    @Serializable
+    @SerialName("revision_seen")
+    public data class RevisionSeen(override val at: HistoryTime, val entry: Incarnation, val revision: ListsRevision) :
+        HistoryEvent
+
+    /** A caller was given a session on [version]. */
+    @Serializable
+    @SerialName("session_opened")
+    public data class SessionOpened(
+        override val at: HistoryTime,
+        val session: SessionId,
+        val version: ModelVersionReference,
+    ) : HistoryEvent
+
+    /**
+     * A caller sent a request.
+     *
+     * @property request names this send; a repetition with the same [key] is another send.
+     * @property expectedAnswer the text that a whole answer has.
+     */
+    @Serializable
+    @SerialName("request_sent")
+    public data class RequestSent(
+        override val at: HistoryTime,
+        val request: RequestId,
+        val account: ClientAccountId,
+        val entry: Incarnation,
+        val key: RequestKey,
+        val operation: RequestOperation = RequestOperation.COMPLETION,
+        val session: SessionId? = null,
+        val expectedAnswer: String = "",
+    ) : HistoryEvent
+
+    /** The caller's [request] came to its end. */
+    @Serializable
+    @SerialName("request_ended")
+    public data class RequestEnded(override val at: HistoryTime, val request: RequestId, val outcome: CallerOutcome) :
+        HistoryEvent
+
+    /**
+     * An endpoint began to run a request.
+     *
+     * @property version the version that runs; `null` at a plain service.
+     */
+    @Serializable
+    @SerialName("run_started")
+    public data class RunStarted(
+        override val at: HistoryTime,
+        val endpoint: InstanceId,
+        val attempt: AttemptId,
+        val key: RequestKey,
+        val version: ModelVersionReference? = null,
+    ) : HistoryEvent
+
+    /** [endpoint] said, or the platform's list said of it, that it is leaving. */
+    @Serializable
+    @SerialName("leaving_announced")
+    public data class LeavingAnnounced(override val at: HistoryTime, val endpoint: InstanceId) : HistoryEvent
+
+    /** [entry] was told to shut down gracefully. */
+    @Serializable
+    @SerialName("shutdown_started")
+    public data class ShutdownStarted(override val at: HistoryTime, val entry: Incarnation) : HistoryEvent
+
+    /** The process of [entry] ended after its graceful shutdown. */
+    @Serializable
+    @SerialName("shutdown_ended")
+    public data class ShutdownEnded(override val at: HistoryTime, val entry: Incarnation) : HistoryEvent
+
+    /** The sums that the platform keeps for [account] once nothing runs any more. */
+    @Serializable
+    @SerialName("bills_stored")
+    public data class BillsStored(
+        override val at: HistoryTime,
+        val account: ClientAccountId,
+        val answers: Long,
+        val priceMicros: Long,
+    ) : HistoryEvent
+}
+
+/** What a caller saw of the end of a request. */
+@Serializable
+public sealed interface CallerOutcome {
+    /**
+     * An answer with its end marker.
+     *
+     * @property priceMicros price in millionths of the operators' currency.
+     */
+    @Serializable
+    @SerialName("answered")
+    public data class Answered(
+        val text: String,
+        val version: ModelVersionReference? = null,
+        val isBilled: Boolean = false,
+        val priceMicros: Long = 0,
+    ) : CallerOutcome
+
+    /** A refusal that says "not run". */
+    @Serializable
+    @SerialName("not_run")
+    public data class NotRun(val code: String) : CallerOutcome
+
+    /** A failure that says that the request may have run. */
+    @Serializable
+    @SerialName("may_have_run")
+    public data class MayHaveRun(val code: String) : CallerOutcome
+
+    /** The connection ended without any statement. */
+    @Serializable
+    @SerialName("cut")
+    public data class Cut(val message: String = "") : CallerOutcome
+
+    /** No connection came about. */
+    @Serializable
+    @SerialName("unreachable")
+    public data object Unreachable : CallerOutcome
+}
