Run pairs of faults against real entries and mend what they found

Cause: no test ran the entries under faults. Letting every server wait for its connections: each close then took over 1 s, so only the entry's does, with idle connections ended after 100 ms.

--- /dev/null
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/ListsEdits.kt
@@ -0,0 +1,51 @@
+package io.quetzalfield.distribution
+
+import io.quetzalfield.entry.BILL_CELL_PREFIX
+import io.quetzalfield.entry.BillCell
+import io.quetzalfield.entry.BillTotals
+import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.ModelVersion
+import io.quetzalfield.model.ModelVersionReference
+import io.quetzalfield.model.OperatorLists
+import io.quetzalfield.model.SigningKey
+import io.quetzalfield.model.VersionState
+import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.platform.PlatformJson
+
+internal fun OperatorLists.withVersion(name: String, edit: (ModelVersion) -> ModelVersion): OperatorLists {
+    val reference = checkNotNull(ModelVersionReference.parse(name))
+    val edited = models.models.map { model ->
+        if (model.id != reference.model) return@map model
+        model.copy(versions = model.versions.map { if (it.id == reference.version) edit(it) else it })
+    }
+    return copy(models = models.copy(models = edited))
+}
+
+internal fun OperatorLists.withdrawing(name: String): OperatorLists =
+    withVersion(name) { it.copy(state = VersionState.WITHDRAWN) }
+
+/** Puts a new signing key first and keeps the one before. */
+internal fun OperatorLists.withNewSigningKey(): OperatorLists {
+    val key = SigningKey("key-$revision", "secret of revision $revision".padEnd(32, '.'))
+    return copy(plans = plans.copy(signingKeys = listOf(key) + plans.signingKeys.take(1)))
+}
+
+/** An edit that changes nothing but the revision and one allowance. */
+internal fun OperatorLists.withMoreAllowance(): OperatorLists = copy(
+    plans = plans.copy(accounts = plans.accounts.map { it.copy(tokensPerMinute = it.tokensPerMinute + 1) }),
+)
+
+/** An edit that changes nothing but the revision and the weights. */
+internal fun OperatorLists.withMoreWeight(): OperatorLists = copy(
+    plans = plans.copy(accounts = plans.accounts.map { it.copy(weight = it.weight + 1) }),
+)
+
+/** The sums that the store keeps, by account. */
+internal fun storedBills(store: KeyValueStore): Map<ClientAccountId, BillTotals> =
+    checkNotNull(store.list(BILL_CELL_PREFIX).getOrNull())
+        .map { PlatformJson.decodeFromString(BillCell.serializer(), it.value) }
+        .flatMap { cell -> cell.totals.entries }
+        .groupBy({ it.key }, { it.value })
+        .mapValues { (_, totals) ->
+            BillTotals(totals.sumOf { it.answers }, totals.sumOf { it.tokens }, totals.sumOf { it.priceMicros })
+        }
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/Processes.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/Processes.kt
@@ -61,4 +61,4 @@
     }
 }
 
-private val POLL = 50.milliseconds
+private val POLL = 10.milliseconds
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
@@ -16,6 +16,7 @@
 import io.quetzalfield.model.FailureDomainId
 import io.quetzalfield.model.InstanceId
 import io.quetzalfield.model.ListsSnapshot
+import io.quetzalfield.model.MayHaveRun
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.NotRun
 import io.quetzalfield.model.Plan
@@ -77,6 +78,7 @@
     private val runners: RunnerClient,
     private val ledger: BillLedger,
     private val metrics: EntryMetrics,
+    private val currentLists: () -> ListsSnapshot,
     private val journal: RequestJournal = RequestJournal.None,
     private val timeSource: TimeSource = TimeSource.Monotonic,
 ) {
@@ -88,6 +90,11 @@
         var tokensSent = 0
         var untilFirstToken: Duration? = null
 
+        val timeLeft: Duration get() = deadline - started.elapsedNow()
+
+        fun deadlineMissed(): NotRun =
+            NotRun(RefusalReason.DEADLINE_CANNOT_BE_MET, "no runner took the request within $deadline")
+
         fun onToken(text: String) {
             if (tokensSent == 0) {
                 untilFirstToken = started.elapsedNow()
@@ -143,14 +150,14 @@
     private fun runAttempts(run: Run): Either<RequestFailure, CompletionReport> {
         var lastFailure: RequestFailure = NotRun(RefusalReason.NO_RUNNER, "no runner serves ${run.version}")
         repeat(MAXIMUM_ATTEMPTS) {
+            if (run.timeLeft <= Duration.ZERO) return lastFailure.orIfNotRun(run.deadlineMissed()).left()
             val runner = chooseRunner(run) ?: return lastFailure.left()
-            val refusal = checkPermission(run.call.snapshot, run.call.plan.id, run.version, run.call.pin != null)
-            if (refusal != null) return refusal.left()
+            checkPermission(run)?.let { refusal -> return lastFailure.orIfNotRun(refusal).left() }
             when (val result = attempt(run, runner)) {
                 is AttemptResult.Complete -> return bill(run, result).right()
 
                 is AttemptResult.Failed -> {
-                    lastFailure = result.failure
+                    lastFailure = lastFailure.orIfNotRun(result.failure)
                     if (result.isLeaving) fleet.markLeaving(InstanceId(runner.id.value))
                     if (run.tokensSent > 0) return lastFailure.left()
                     noteRetry(run, retryReason(result.failure))
@@ -160,6 +167,14 @@
         return lastFailure.left()
     }
 
+    /**
+     * Checks the version against the snapshot of the decision and against the newest one, which may have withdrawn the
+     * version since.
+     */
+    private fun checkPermission(run: Run): NotRun? = listOf(run.call.snapshot, currentLists()).firstNotNullOfOrNull {
+        checkPermission(it, run.call.plan.id, run.version, isOnVersion = run.call.pin != null)
+    }
+
     private fun noteRetry(run: Run, reason: RetryReason) {
         metrics.countRetry(reason)
         journal.record(run.call.id, RequestEvent.Retried(reason))
@@ -176,9 +191,8 @@
             streamOptions = StreamOptions(includeUsage = true),
         )
         val attempt = AttemptId(UUID.randomUUID().toString())
-        val timeLeft = run.deadline - run.started.elapsedNow()
         journal.record(run.call.id, RequestEvent.AttemptSent(attempt, runner.id, run.version))
-        val result = loads.track(runner.id) { runners.stream(runner, attempt, request, timeLeft, run::onToken) }
+        val result = loads.track(runner.id) { runners.stream(runner, attempt, request, run.timeLeft, run::onToken) }
         if (result is AttemptResult.Failed) {
             journal.record(run.call.id, RequestEvent.AttemptFailed(attempt, result.failure))
         }
@@ -209,3 +223,6 @@
         const val TOKENS_PER_PRICE = 1_000
     }
 }
+
+/** [next], unless the request may have run already: a later refusal does not take that back. */
+private fun RequestFailure.orIfNotRun(next: RequestFailure): RequestFailure = if (this is MayHaveRun) this else next
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.entry
 
 import io.javalin.Javalin
+import io.javalin.util.JavalinException
 import io.quetzalfield.decision.CheapestSufficientRouteChooser
 import io.quetzalfield.decision.LeastLoadedRunnerChooser
 import io.quetzalfield.model.Incarnation
@@ -24,6 +25,7 @@
 import java.util.UUID
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** An entry that runs: it answers callers and peers until it is closed. */
 public class EntryProgram(
@@ -51,6 +53,7 @@
         runners = RunnerClient(client),
         ledger = ledger,
         metrics = metrics,
+        currentLists = lists::snapshot,
     )
     private val callerApi = CallerApi(
         lists = lists,
@@ -87,7 +90,7 @@
 
     private fun startCallerServer(): Javalin {
         val address = requireNotNull(HostPort.parse(settings.callerAddress)) { "checked with the settings" }
-        return startHttpServer(address.host, address.port, settings.largestBodyBytes) {
+        return startHttpServer(address.host, address.port, STOP_TIMEOUT, settings.largestBodyBytes) {
             callerApi.addRoutes(this)
             get("/metrics") { writeMetrics(it, metrics.registry) }
         }
@@ -126,13 +129,22 @@
         scheduler.shutdownNow()
         distribution.close()
         directory.remove(settings.instance)
-        server.stop()
+        stopServer()
         peerServer.close()
         peers.close()
         logger.info("entry {} has stopped, {}", incarnation, if (isDrained) "drained" else "with requests running")
     }
 
+    private fun stopServer() {
+        try {
+            server.stop()
+        } catch (error: JavalinException) {
+            logger.warn("answers were still being written after {}", STOP_TIMEOUT, error)
+        }
+    }
+
     private companion object {
+        val STOP_TIMEOUT = 2.seconds
         const val LARGEST_CONCURRENCY = 4_096
         const val IDLE_CONNECTIONS = 256
         const val KEEP_ALIVE_MINUTES = 5L
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RunnerClient.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RunnerClient.kt
@@ -21,6 +21,7 @@
 import okhttp3.Response
 import okhttp3.sse.EventSources
 import java.io.IOException
+import java.io.InterruptedIOException
 import java.net.ConnectException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -67,6 +68,8 @@
             call.execute().use { response -> read(response, attempt, request, onToken) }
         } catch (error: ConnectException) {
             notRun(RefusalReason.NO_RUNNER, "runner ${runner.id} cannot be reached: ${error.message}")
+        } catch (error: InterruptedIOException) {
+            mayHaveRun(InterruptionReason.DEADLINE_PASSED, "runner ${runner.id}: ${error.message}")
         } catch (error: IOException) {
             mayHaveRun(InterruptionReason.CONNECTION_LOST, "runner ${runner.id}: ${error.message}")
         }
--- /dev/null
+++ b/platform-fakes/src/main/kotlin/io/quetzalfield/platform/fakes/PlatformLink.kt
@@ -0,0 +1,106 @@
+package io.quetzalfield.platform.fakes
+
+import arrow.core.Either
+import arrow.core.left
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.platform.DirectoryError
+import io.quetzalfield.platform.InstanceDirectory
+import io.quetzalfield.platform.KeyValueError
+import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.platform.LeaseId
+import io.quetzalfield.platform.StoreChange
+import io.quetzalfield.platform.StoreRevision
+import io.quetzalfield.platform.StoreWatch
+import io.quetzalfield.platform.StoredValue
+import io.quetzalfield.platform.SwapResult
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+
+/** The way of one process to the platform. It can be cut or slow while other processes reach the platform. */
+public class PlatformLink(private val origin: KeyValueStore, private val list: InstanceDirectory) {
+    private class Watch(val prefix: String, val onChange: (StoreChange) -> Unit)
+
+    private val watches = CopyOnWriteArrayList<Watch>()
+    private val listReadCount = AtomicLong()
+
+    /** Time by which each answer of the store is late. */
+    @Volatile
+    public var delay: Duration = Duration.ZERO
+
+    /** While `true`, nothing gets through. Watches start anew when it becomes `false`. */
+    @Volatile
+    public var isCut: Boolean = false
+        set(value) {
+            field = value
+            if (!value) watches.forEach(::restart)
+        }
+
+    /** How often the list of instances was read without an error. */
+    public val listReads: Long get() = listReadCount.get()
+
+    /** The store as the process sees it. */
+    public val store: KeyValueStore = LinkedStore()
+
+    /** The list of instances as the process sees it. */
+    public val directory: InstanceDirectory = LinkedDirectory()
+
+    private fun restart(watch: Watch) {
+        origin.list(watch.prefix).onRight { values ->
+            values.filter { it.key.startsWith(watch.prefix) }.forEach { watch.onChange(StoreChange(it.key, it)) }
+        }
+    }
+
+    private fun <T> call(action: () -> Either<KeyValueError, T>): Either<KeyValueError, T> {
+        if (isCut) return KeyValueError.Unavailable("the link is cut").left()
+        val result = action()
+        if (delay.isPositive()) Thread.sleep(delay.inWholeMilliseconds)
+        return if (isCut) KeyValueError.OutcomeUnknown("the link was cut").left() else result
+    }
+
+    private inner class LinkedStore : KeyValueStore {
+        override fun read(key: String): Either<KeyValueError, StoredValue?> = call { origin.read(key) }
+
+        override fun list(prefix: String): Either<KeyValueError, List<StoredValue>> = call { origin.list(prefix) }
+
+        override fun compareAndSwap(
+            key: String,
+            expected: StoreRevision,
+            value: String,
+            lease: LeaseId?,
+        ): Either<KeyValueError, SwapResult> = call { origin.compareAndSwap(key, expected, value, lease) }
+
+        override fun compareAndDelete(key: String, expected: StoreRevision): Either<KeyValueError, SwapResult> =
+            call { origin.compareAndDelete(key, expected) }
+
+        override fun grantLease(timeToLive: Duration): Either<KeyValueError, LeaseId> =
+            call { origin.grantLease(timeToLive) }
+
+        override fun keepAlive(lease: LeaseId): Either<KeyValueError, Boolean> = call { origin.keepAlive(lease) }
+
+        override fun revokeLease(lease: LeaseId): Either<KeyValueError, Unit> = call { origin.revokeLease(lease) }
+
+        override fun watch(prefix: String, onChange: (StoreChange) -> Unit): StoreWatch {
+            val watch = Watch(prefix, onChange)
+            watches += watch
+            val running = origin.watch(prefix) { change -> if (!isCut) onChange(change) }
+            return StoreWatch {
+                watches -= watch
+                running.close()
+            }
+        }
+    }
+
+    private inner class LinkedDirectory : InstanceDirectory {
+        override fun instances(): Either<DirectoryError, List<ListedInstance>> =
+            call(list::instances).onRight { listReadCount.incrementAndGet() }
+
+        override fun announce(instance: ListedInstance): Either<DirectoryError, Unit> = call { list.announce(instance) }
+
+        override fun remove(instance: InstanceId): Either<DirectoryError, Unit> = call { list.remove(instance) }
+
+        private fun <T> call(action: () -> Either<DirectoryError, T>): Either<DirectoryError, T> =
+            if (isCut) DirectoryError("the link is cut").left() else action()
+    }
+}
--- a/service-support/src/main/kotlin/io/quetzalfield/support/HttpServer.kt
+++ b/service-support/src/main/kotlin/io/quetzalfield/support/HttpServer.kt
@@ -3,20 +3,26 @@
 import io.javalin.Javalin
 import io.javalin.compression.CompressionStrategy
 import io.javalin.config.RoutesConfig
+import org.eclipse.jetty.server.AbstractConnector
+import org.eclipse.jetty.server.handler.GracefulHandler
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import kotlin.time.Duration
 
 private const val DEFAULT_THREADS = 1_024
 private const val MINIMUM_THREADS = 16
+private const val IDLE_AT_STOP_MILLISECONDS = 100L
 private const val DEFAULT_LARGEST_BODY_BYTES = 4L * 1024 * 1024
 
 /**
  * Starts a Javalin server at [host] and [port]; port 0 takes a free one.
  *
+ * @param stopTimeout longest time for which stopping it waits for answers that are still being written.
  * @param largestBody bytes above which a request body is refused with status 413.
  */
 public fun startHttpServer(
     host: String,
     port: Int,
+    stopTimeout: Duration = Duration.ZERO,
     largestBody: Long = DEFAULT_LARGEST_BODY_BYTES,
     threads: Int = DEFAULT_THREADS,
     routes: RoutesConfig.() -> Unit,
@@ -27,6 +33,12 @@
     config.http.compressionStrategy = CompressionStrategy.NONE
     config.http.maxRequestSize = largestBody
     config.jetty.threadPool = QueuedThreadPool(threads, MINIMUM_THREADS)
-    config.jetty.modifyServer { it.stopTimeout = 0 }
+    config.jetty.modifyServer { server ->
+        server.handler = GracefulHandler()
+        server.stopTimeout = stopTimeout.inWholeMilliseconds
+    }
     config.routes.routes()
-}.start(host, port)
+}.start(host, port).apply {
+    val connectors = jettyServer().server().connectors.filterIsInstance<AbstractConnector>()
+    connectors.forEach { it.shutdownIdleTimeout = IDLE_AT_STOP_MILLISECONDS }
+}
--- a/standins/src/main/kotlin/io/quetzalfield/standins/CallerClient.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/CallerClient.kt
@@ -5,6 +5,7 @@
 import io.quetzalfield.platform.engine.STREAM_END
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -14,12 +15,22 @@
 import okhttp3.sse.EventSourceListener
 import okhttp3.sse.EventSources
 import java.io.IOException
+import java.net.ConnectException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 
-/** What a caller saw of a streamed answer; [error] is `null` when it is whole. */
+/** What an error body said of a request: the reason's [code], and whether it [ran]: `no` or `unknown`. */
+@Serializable
+public data class FailureStatement(val code: String, val message: String, val ran: String)
+
+/**
+ * What a caller saw of a streamed answer; [error] is `null` when it is whole.
+ *
+ * @property statement what the error body or error event said.
+ * @property isUnreachable whether no connection came about.
+ */
 public data class CallerAnswer(
     val status: Int,
     val text: String,
@@ -29,13 +40,16 @@
     val untilFirstToken: Duration?,
     val untilEnd: Duration,
     val error: String?,
+    val statement: FailureStatement? = null,
+    val isUnreachable: Boolean = false,
 )
 
 /** What a caller saw of a plain call. */
 public data class CallerReply(val status: Int, val body: String)
 
+/** A session that was opened. */
 @Serializable
-internal data class ReceivedSession(val session: String, val token: String, val version: String)
+public data class ReceivedSession(val session: String, val token: String, val version: String, val revision: Long = 0)
 
 @Serializable
 private data class ReceivedAddress(val address: String)
@@ -59,13 +73,20 @@
 )
 
 @Serializable
-private data class ReceivedError(val code: String, val message: String, val ran: String)
+private data class ReceivedErrorBody(val error: FailureStatement)
+
+/** What the error body [text] says; `null` when it is no error body. */
+public fun readFailureStatement(text: String): FailureStatement? = try {
+    PlatformJson.decodeFromString(ReceivedErrorBody.serializer(), text).error
+} catch (_: SerializationException) {
+    null
+}
 
 @Serializable
 private data class ReceivedEvent(
     val choices: List<ReceivedChoice> = emptyList(),
     val bill: ReceivedBill? = null,
-    val error: ReceivedError? = null,
+    val error: FailureStatement? = null,
 )
 
 /** A caller of one entry at [address], as a client account would write it. */
@@ -85,7 +106,8 @@
         return PlatformJson.decodeFromString(ReceivedAddresses.serializer(), reply.body).addresses.map { it.address }
     }
 
-    internal fun openSession(apiKey: String, kind: String): ReceivedSession {
+    /** Opens a session for requests of [kind]. */
+    public fun openSession(apiKey: String, kind: String): ReceivedSession {
         val reply = post("/v1/sessions", apiKey, """{"model":"auto","kind":"$kind"}""")
         return PlatformJson.decodeFromString(ReceivedSession.serializer(), reply.body)
     }
@@ -143,6 +165,8 @@
         val reader = AnswerReader(TimeSource.Monotonic.markNow(), onToken)
         return try {
             client.newCall(request("/v1/chat/completions", apiKey, json, headers)).execute().use(reader::read)
+        } catch (error: ConnectException) {
+            reader.failed("${error.message}").copy(isUnreachable = true)
         } catch (error: IOException) {
             reader.failed("${error.message}")
         }
@@ -172,17 +196,23 @@
     private var version: String? = null
     private var bill: ReceivedBill? = null
     private var error: String? = null
+    private var statement: FailureStatement? = null
     private var hasEnded = false
     private var untilFirstToken: Duration? = null
 
     fun read(response: Response): CallerAnswer {
         status = response.code
         version = response.header("Quetzalfield-Version")
-        if (response.isSuccessful) EventSources.processResponse(response, this) else error = response.body.string()
+        if (response.isSuccessful) EventSources.processResponse(response, this) else refused(response.body.string())
         if (!hasEnded && error == null) error = "the stream ended early"
         return answer()
     }
 
+    private fun refused(body: String) {
+        error = body
+        statement = readFailureStatement(body)
+    }
+
     fun failed(message: String): CallerAnswer {
         error = message
         return answer()
@@ -195,7 +225,10 @@
         }
         val event = PlatformJson.decodeFromString(ReceivedEvent.serializer(), data)
         event.bill?.let { bill = it }
-        event.error?.let { error = "${it.code}: ${it.message}, ran ${it.ran}" }
+        event.error?.let {
+            error = "${it.code}: ${it.message}, ran ${it.ran}"
+            statement = it
+        }
         event.choices.firstOrNull()?.delta?.content?.let(::addToken)
     }
 
@@ -218,5 +251,6 @@
         untilFirstToken = untilFirstToken,
         untilEnd = started.elapsedNow(),
         error = error,
+        statement = statement,
     )
 }
--- a/standins/src/main/kotlin/io/quetzalfield/standins/KeyValueGateway.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/KeyValueGateway.kt
@@ -36,7 +36,6 @@
 
 private const val LOST_ANSWER_STATUS = 504
 private const val BAD_REQUEST_STATUS = 400
-private const val PROMISED_BYTES = 1_000
 private const val WATCH_POLL_MILLISECONDS = 500L
 
 /** The JSON gateway of the etcd v3 interface over an [InMemoryKeyValueStore]. */
@@ -129,17 +128,11 @@
             is Either.Left -> when (result.value) {
                 is KeyValueError.Unavailable -> status(SERVICE_UNAVAILABLE)
                 is KeyValueError.Rejected -> status(BAD_REQUEST_STATUS).result(result.value.message)
-                is KeyValueError.OutcomeUnknown -> loseConnection()
+                is KeyValueError.OutcomeUnknown -> status(LOST_ANSWER_STATUS).breakAnswer()
             }
         }
     }
 
-    /** Ends the answer in the middle of its body, so that the client cannot read it. */
-    private fun Context.loseConnection() {
-        status(LOST_ANSWER_STATUS).res().setContentLength(PROMISED_BYTES)
-        res().outputStream.flush()
-    }
-
     private fun watch(context: Context) {
         if (store.isDown) {
             context.status(SERVICE_UNAVAILABLE)
--- a/standins/src/main/kotlin/io/quetzalfield/standins/PlatformStandIn.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/PlatformStandIn.kt
@@ -90,7 +90,14 @@
 }
 
 internal const val SERVICE_UNAVAILABLE = 503
+private const val PROMISED_BYTES = 1_000
 
 internal fun <T> Context.answer(serializer: kotlinx.serialization.KSerializer<T>, value: T) {
     contentType("application/json").result(PlatformJson.encodeToString(serializer, value))
 }
+
+/** Ends the answer in the middle of its body, so that the client cannot read it. */
+internal fun Context.breakAnswer() {
+    res().setContentLength(PROMISED_BYTES)
+    res().outputStream.flush()
+}
--- a/standins/src/main/kotlin/io/quetzalfield/standins/RunnerStandIn.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/RunnerStandIn.kt
@@ -23,12 +23,15 @@
 import java.io.IOException
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Clock
 
 /**
  * Faults of a runner, set with `POST /faults`.
  *
  * @property isLeaving new requests are refused; running ones finish.
  * @property cutAfterTokens the stream ends without its end marker after this many tokens.
+ * @property skippedToken place of a token that is left out, from 0.
+ * @property holdMilliseconds time by which the first token is late.
  * @property crossedId chunks carry the id of another attempt.
  * @property crashOnText a request whose text contains this ends the process, or the connection in embedded use.
  */
@@ -36,13 +39,26 @@
 public data class RunnerFaults(
     val isLeaving: Boolean = false,
     val cutAfterTokens: Int? = null,
+    val skippedToken: Int? = null,
+    val holdMilliseconds: Long = 0,
     val crossedId: Boolean = false,
     val crashOnText: String? = null,
 )
 
-/** One request as the runner saw it; `GET /seen` answers all of them. */
+/**
+ * One request as the runner saw it; `GET /seen` answers all of them.
+ *
+ * @property prompt the last message of the conversation.
+ * @property startedAtEpochMilliseconds wall-clock time at which it started to run.
+ */
 @Serializable
-public data class SeenRequest(val attempt: String, val model: String, val tokens: Int)
+public data class SeenRequest(
+    val attempt: String,
+    val model: String,
+    val tokens: Int,
+    val prompt: String = "",
+    val startedAtEpochMilliseconds: Long = 0,
+)
 
 /**
  * Stands in for a model engine: streams the words of a made-up answer.
@@ -58,6 +74,7 @@
     private val slots: Int = DEFAULT_SLOTS,
     private val tokenDelayMilliseconds: Long = 0,
     private val refusesOldOrders: Boolean = true,
+    private val clock: Clock = Clock.System,
     private val crash: () -> Unit = {},
 ) : AutoCloseable {
     private val running = AtomicInteger()
@@ -126,7 +143,13 @@
         try {
             val attempt = context.header(REQUEST_ID_HEADER) ?: "none"
             val words = answerWords(request)
-            seen += SeenRequest(attempt, request.model, words.size)
+            seen += SeenRequest(
+                attempt = attempt,
+                model = request.model,
+                tokens = words.size,
+                prompt = request.messages.lastOrNull()?.content.orEmpty(),
+                startedAtEpochMilliseconds = clock.now().toEpochMilliseconds(),
+            )
             if (shouldCrash(request)) crash()
             stream(context, request, attempt, words)
         } catch (_: IOException) {
@@ -142,11 +165,13 @@
     private fun stream(context: Context, request: ChatCompletionRequest, attempt: String, words: List<String>) {
         val events = EventStreamWriter(context)
         val id = COMPLETION_ID_PREFIX + if (faults.crossedId) "another-attempt" else attempt
+        Thread.sleep(faults.holdMilliseconds)
         for (offset in (request.resumeOffset ?: 0) until words.size) {
             if (offset == faults.cutAfterTokens || shouldCrash(request)) return
             if (tokenDelayMilliseconds > 0) Thread.sleep(tokenDelayMilliseconds)
-            events.send(tokenChunk(id, request.model, words[offset], offset))
+            if (offset != faults.skippedToken) events.send(tokenChunk(id, request.model, words[offset], offset))
         }
+        if (faults.cutAfterTokens == words.size) return
         val finish = ChatChunkChoice(finishReason = "stop")
         events.send(ChatCompletionChunk(id, model = request.model, choices = listOf(finish)))
         val promptTokens = request.messages.sumOf { it.content.split(' ').size }
--- a/standins/src/main/kotlin/io/quetzalfield/standins/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/ServiceStandIn.kt
@@ -2,22 +2,45 @@
 
 import io.javalin.Javalin
 import io.javalin.http.Context
+import io.quetzalfield.platform.PlatformJson
 import io.quetzalfield.platform.engine.REQUEST_ID_HEADER
 import io.quetzalfield.support.startHttpServer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.builtins.ListSerializer
 import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.time.Clock
 
-/** One operation that a service ran. */
+/**
+ * Faults of a service, set with `POST /faults`.
+ *
+ * @property loseAnswers operations run, and the connection ends without an answer.
+ */
 @Serializable
-public data class ServiceRun(val attempt: String, val operation: String, val body: String)
+public data class ServiceFaults(val loseAnswers: Boolean = false)
+
+/**
+ * One operation that a service ran.
+ *
+ * @property startedAtEpochMilliseconds wall-clock time at which it started to run.
+ */
+@Serializable
+public data class ServiceRun(
+    val attempt: String,
+    val operation: String,
+    val body: String,
+    val startedAtEpochMilliseconds: Long = 0,
+)
 
 /** Stands in for a plain service, such as one that takes bookings: it runs whatever it is sent, each time anew. */
-public class ServiceStandIn(host: String, port: Int) : AutoCloseable {
+public class ServiceStandIn(host: String, port: Int, private val clock: Clock = Clock.System) : AutoCloseable {
     private val runs = ConcurrentLinkedQueue<ServiceRun>()
 
+    @Volatile
+    private var faults = ServiceFaults()
+
     private val server: Javalin = startHttpServer(host, port) {
         post("/operations/{operation}", ::run)
+        post("/faults") { faults = PlatformJson.decodeFromString(ServiceFaults.serializer(), it.body()) }
         get("/runs") { it.answer(ListSerializer(ServiceRun.serializer()), runs.toList()) }
     }
 
@@ -27,11 +50,21 @@
     /** All operations that ran, in order. */
     public fun allRuns(): List<ServiceRun> = runs.toList()
 
+    /** Sets the faults from now on. */
+    public fun setFaults(newFaults: ServiceFaults) {
+        faults = newFaults
+    }
+
     private fun run(context: Context) {
         val attempt = context.header(REQUEST_ID_HEADER).orEmpty()
-        val run = ServiceRun(attempt, context.pathParam("operation"), context.body())
+        val run = ServiceRun(
+            attempt = attempt,
+            operation = context.pathParam("operation"),
+            body = context.body(),
+            startedAtEpochMilliseconds = clock.now().toEpochMilliseconds(),
+        )
         runs += run
-        context.answer(ServiceRun.serializer(), run)
+        if (faults.loseAnswers) context.breakAnswer() else context.answer(ServiceRun.serializer(), run)
     }
 
     override fun close() {
