Run the fault table over witnessed bills, homes, tickets and claims

Cause: the table ran before bills outlived their entry; keyed repeats and claims had no case. Ruled out: that bills get lost when an entry shuts down in an outage: the case failed after the merge too ("5 answers are billed, due are 6..6"), because the fake list, being down, kept naming the entry that had gone, so that no steward folded its bills. The platform drops instances that have gone; the harness does so now when the outage ends. Change: a steward in the harness; the same key at two entries; operations under a ticket and under the caller's key, each sent three times; sums of accounts and unfolded cells. Conclusion: no promise is broken by any of the single faults or pairs in the table.

--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/FaultFleet.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/FaultFleet.kt
@@ -3,6 +3,7 @@
 import arrow.core.getOrElse
 import io.quetzalfield.entry.EntryProgram
 import io.quetzalfield.entry.EntrySettings
+import io.quetzalfield.history.CallerOutcome
 import io.quetzalfield.history.History
 import io.quetzalfield.history.HistoryEvent
 import io.quetzalfield.history.HistoryRecorder
@@ -29,6 +30,8 @@
 import io.quetzalfield.standins.CallerClient
 import io.quetzalfield.standins.RunnerStandIn
 import io.quetzalfield.standins.ServiceStandIn
+import io.quetzalfield.steward.StewardProgram
+import io.quetzalfield.steward.StewardSettings
 import java.nio.file.Path
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
@@ -68,13 +71,31 @@
     }
     val service = ServiceStandIn(LOOPBACK, 0, clock).also { announceService(it) }
     val entries: List<FleetEntry>
+    private val steward: StewardProgram
 
     init {
         replaceLists(operatorLists())
         entries = listOf("entry-1" to "domain-1", "entry-2" to "domain-2").map { startEntry(it.first, it.second) }
+        steward = startSteward()
         awaitAgreement()
     }
 
+    private fun startSteward(): StewardProgram {
+        val settings = StewardSettings(
+            instance = InstanceId("steward-1"),
+            failureDomain = FailureDomainId("domain-1"),
+            peerAddress = "$LOOPBACK:0",
+            operatorAddress = "$LOOPBACK:0",
+            platformAddress = "http://$LOOPBACK:1",
+            leaseTimeToLive = 1.seconds,
+            leaseMargin = 200.milliseconds,
+            dutyPeriod = REFRESH,
+            billPeriod = REFRESH,
+            goneAfter = GONE_AFTER,
+        )
+        return StewardProgram(settings, store, directory)
+    }
+
     fun entry(number: Int): KnownEntry = entries[number - 1].known
 
     private fun startRunner(name: String, versions: List<ModelVersionReference>): RunnerStandIn {
@@ -170,6 +191,7 @@
 
     /** Ends all entries gracefully and returns what was seen, with the sums that were stored in the end. */
     fun finish(): History {
+        awaitFolding()
         val shutdowns = entries.indices.map { thread { shutDown(it + 1) } }
         shutdowns.forEach(Thread::join)
         recordRuns()
@@ -177,6 +199,14 @@
         return recorder.history()
     }
 
+    /** Waits until the bills of entries that have ended are in the accounts; what stays out is left to the checkers. */
+    private fun awaitFolding() {
+        val due = recorder.history().events.filterIsInstance<HistoryEvent.RequestEnded>()
+            .count { (it.outcome as? CallerOutcome.Answered)?.isBilled == true }
+        val isFolded = { storedBills(store).values.sumOf { it.answers } >= due }
+        if (entries.any(FleetEntry::isClosed)) runCatching { await("folded bills", FOLDED_WITHIN, isFolded) }
+    }
+
     private fun recordRuns() {
         for ((name, runner) in runners) {
             for (run in runner.seenRequests()) {
@@ -215,6 +245,7 @@
 
     override fun close() {
         entries.filterNot(FleetEntry::isClosed).forEach { it.program.close() }
+        steward.close()
         runners.values.forEach(RunnerStandIn::close)
         service.close()
     }
@@ -222,8 +253,10 @@
     private companion object {
         const val LOOPBACK = "127.0.0.1"
         const val EDIT_ATTEMPTS = 5
+        val GONE_AFTER = 200.milliseconds
         val REFRESH = 20.milliseconds
         val IN_FORCE_WITHIN = 5.seconds
+        val FOLDED_WITHIN = 5.seconds
         val RUNNER_VERSIONS = mapOf(
             "runner-1" to versions("advisor-small@1", "advisor-small@2", "advisor-large@2"),
             "runner-2" to versions("advisor-small@1", "advisor-small@2", "advisor-large@1"),
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/FaultTableTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/FaultTableTest.kt
@@ -44,7 +44,7 @@
 private val faults: List<Fault> = listOf(
     Fault("lost answers of the store") { store.loseAnswers(4) },
     Fault("slow answers of the store", end = { setDelay(Duration.ZERO) }) { setDelay(30.milliseconds) },
-    Fault("outage of the store and the list", end = { setOutage(false) }) { setOutage(true) },
+    Fault("outage of the store and the list", end = { endOutage() }) { beginOutage() },
     Fault("cut between entry-1 and the platform", end = { entries[0].link.isCut = false }) {
         entries[0].link.isCut = true
     },
@@ -80,9 +80,16 @@
 
 private fun FaultFleet.setDelay(delay: Duration) = entries.forEach { it.link.delay = delay }
 
-private fun FaultFleet.setOutage(isDown: Boolean) {
-    store.isDown = isDown
-    directory.isDown = isDown
+private fun FaultFleet.beginOutage() {
+    store.isDown = true
+    directory.isDown = true
+}
+
+/** The platform is back and notices which entries have gone meanwhile. */
+private fun FaultFleet.endOutage() {
+    store.isDown = false
+    directory.isDown = false
+    entries.filter(FleetEntry::isClosed).forEach { directory.remove(it.known.incarnation.instance) }
 }
 
 /** Both read the same lists; the second to write loses, reads again and writes anew. */
@@ -108,7 +115,7 @@
         fun run(faults: List<Fault>): History {
             val early = submit(REQUESTS_IN_PHASE)
             faults.forEach { it.begin(fleet) }
-            val late = submit(REQUESTS_IN_PHASE) + submitBookings()
+            val late = submit(REQUESTS_IN_PHASE) + submitBookings() + submitRepeated()
             (early + late).forEach { it.get() }
             faults.forEach { it.end(fleet) }
             fleet.editLists { it.withMoreAllowance() }
@@ -130,8 +137,16 @@
             return threads.submit(Callable { fleet.caller.ask(entry, key, account, session) })
         }
 
-        private fun submitBookings(): List<Future<*>> = listOf(1, 2, 1).map { number ->
-            threads.submit(Callable { fleet.caller.book(fleet.entry(number), "booking", ticket) })
+        /** One operation under a ticket and one under the caller's own key, each sent three times. */
+        private fun submitBookings(): List<Future<*>> = listOf(1, 2, 1).flatMap { number ->
+            listOf("booking" to ticket, "claimed" to null).map { (key, ticket) ->
+                threads.submit(Callable { fleet.caller.book(fleet.entry(number), key, ticket) })
+            }
+        }
+
+        /** The same request with the same key at both entries. */
+        private fun submitRepeated(): List<Future<*>> = listOf(1, 2, 1).map { number ->
+            threads.submit(Callable { fleet.caller.ask(fleet.entry(number), "repeated") })
         }
     }
 
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/ListsEdits.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/ListsEdits.kt
@@ -1,16 +1,19 @@
 package io.quetzalfield.distribution
 
-import io.quetzalfield.entry.BILL_CELL_PREFIX
-import io.quetzalfield.entry.BillCell
-import io.quetzalfield.entry.BillTotals
 import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.ModelVersion
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.OperatorLists
 import io.quetzalfield.model.SigningKey
 import io.quetzalfield.model.VersionState
 import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.platform.bills.ACCOUNT_BILL_PREFIX
+import io.quetzalfield.platform.bills.AccountBill
+import io.quetzalfield.platform.bills.BILL_CELL_PREFIX
+import io.quetzalfield.platform.bills.BillCell
+import io.quetzalfield.platform.bills.BillTotals
+import io.quetzalfield.platform.bills.CellState
 
 internal fun OperatorLists.withVersion(name: String, edit: (ModelVersion) -> ModelVersion): OperatorLists {
     val reference = checkNotNull(ModelVersionReference.parse(name))
@@ -40,12 +43,16 @@
     plans = plans.copy(accounts = plans.accounts.map { it.copy(weight = it.weight + 1) }),
 )
 
-/** The sums that the store keeps, by account. */
-internal fun storedBills(store: KeyValueStore): Map<ClientAccountId, BillTotals> =
-    checkNotNull(store.list(BILL_CELL_PREFIX).getOrNull())
-        .map { PlatformJson.decodeFromString(BillCell.serializer(), it.value) }
-        .flatMap { cell -> cell.totals.entries }
-        .groupBy({ it.key }, { it.value })
-        .mapValues { (_, totals) ->
-            BillTotals(totals.sumOf { it.answers }, totals.sumOf { it.tokens }, totals.sumOf { it.priceMicros })
-        }
+/** What the store bills each account: the folded sums, and the cells that are not in them. */
+internal fun storedBills(store: KeyValueStore): Map<ClientAccountId, BillTotals> {
+    val folded = checkNotNull(store.list(ACCOUNT_BILL_PREFIX).getOrNull())
+        .associate { ClientAccountId(it.key.removePrefix(ACCOUNT_BILL_PREFIX)) to AccountBill.fromJson(it.value) }
+    val cells = checkNotNull(store.list(BILL_CELL_PREFIX).getOrNull())
+        .associate { Incarnation.parse(it.key.removePrefix(BILL_CELL_PREFIX)) to BillCell.fromJson(it.value) }
+    val sums = folded.mapValues { it.value.totals }.toMutableMap()
+    for ((incarnation, cell) in cells.filterValues { it.state != CellState.FOLDED }) {
+        val missing = cell.totals.filterKeys { account -> incarnation !in folded[account]?.folded.orEmpty() }
+        missing.forEach { (account, totals) -> sums.merge(account, totals, BillTotals::plus) }
+    }
+    return sums
+}
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/RecordedCaller.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/RecordedCaller.kt
@@ -54,11 +54,14 @@
         return ended(id, answer.toOutcome())
     }
 
-    /** Books under [ticket], and records a whole answer when the service's answer names the key. */
-    fun book(entry: KnownEntry, key: String, ticket: String, account: Account = Account.WORKSHOP): CallerOutcome {
+    /** Books under [ticket], or under [key] when there is none. The service answers with the key. */
+    fun book(entry: KnownEntry, key: String, ticket: String?, account: Account = Account.WORKSHOP): CallerOutcome {
         val id = sent(entry, key, account, RequestOperation.NON_IDEMPOTENT_OPERATION, null, key)
+        val header = if (ticket == null) "Idempotency-Key" to key else "Quetzalfield-Ticket" to ticket
         val outcome = connected {
-            CallerClient(entry.address).callService(account.apiKey, "bookings", "book", ticket, key).toOutcome()
+            CallerClient(entry.address)
+                .post("/v1/services/bookings/book", account.apiKey, key, mapOf(header))
+                .toOutcome()
         }
         return ended(id, outcome)
     }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionService.kt
@@ -156,9 +156,8 @@
     private fun runAttempts(run: Run): Either<RequestFailure, CompletionReport> {
         var lastFailure: RequestFailure = NotRun(RefusalReason.NO_RUNNER, "no runner serves ${run.version}")
         repeat(MAXIMUM_ATTEMPTS) {
-            if (run.timeLeft <= Duration.ZERO) return lastFailure.orIfNotRun(run.deadlineMissed()).left()
+            obstacle(run)?.let { return lastFailure.orIfNotRun(it).left() }
             val runner = chooseRunner(run) ?: return lastFailure.left()
-            checkPermission(run)?.let { refusal -> return lastFailure.orIfNotRun(refusal).left() }
             when (val result = attempt(run, runner)) {
                 is AttemptResult.Complete -> return bill(run, result).right()
 
@@ -173,6 +172,10 @@
         return lastFailure.left()
     }
 
+    /** Why no attempt may be sent now. */
+    private fun obstacle(run: Run): NotRun? =
+        if (run.timeLeft <= Duration.ZERO) run.deadlineMissed() else checkPermission(run)
+
     /**
      * Checks the version against the snapshot of the decision and against the newest one, which may have withdrawn the
      * version since.
