--- /dev/null
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/ProcessFaultsTest.kt
@@ -0,0 +1,267 @@
+package io.quetzalfield.distribution
+
+import arrow.core.getOrElse
+import io.quetzalfield.history.CallerOutcome
+import io.quetzalfield.history.HistoryEvent
+import io.quetzalfield.history.HistoryRecorder
+import io.quetzalfield.history.HistoryTime
+import io.quetzalfield.history.Promise
+import io.quetzalfield.history.Verdict
+import io.quetzalfield.history.checkAll
+import io.quetzalfield.history.encodeHistory
+import io.quetzalfield.model.AttemptId
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.ModelVersionReference
+import io.quetzalfield.model.RequestKey
+import io.quetzalfield.operator.ListsStore
+import io.quetzalfield.platform.DUTY_PREFIX
+import io.quetzalfield.platform.HttpInstanceDirectory
+import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.platform.bills.BILL_CELL_PREFIX
+import io.quetzalfield.platform.bills.BillCell
+import io.quetzalfield.platform.bills.CellState
+import io.quetzalfield.standins.CallerClient
+import io.quetzalfield.standins.SeenRequest
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import org.junit.jupiter.api.TestInstance
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+import kotlin.time.measureTime
+
+/** Kills, freezes and outages of the separate processes under load; the history of all of them is checked last. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class ProcessFaultsTest {
+    private lateinit var fleet: SmallFleet
+    private val recorder = HistoryRecorder()
+    private val caller = RecordedCaller(recorder)
+    private val entries = ConcurrentHashMap<String, KnownEntry>()
+    private val starts = mutableMapOf<String, Int>()
+    private val figures =
+        mutableListOf(
+            "| fault | next answer | longest wait | broken sends | keys without answer |",
+            "|---|---|---|---|---|",
+        )
+
+    @BeforeAll
+    fun startFleet() {
+        fleet = SmallFleet()
+        fleet.startSteward("steward-2")
+        val stored = ListsStore(fleet.store).read().getOrElse { error("$it") }
+        recorder.record { HistoryEvent.ListsAccepted(it, checkNotNull(stored.lists)) }
+        listOf("entry-1", "entry-2").forEach(::learnEntry)
+    }
+
+    @AfterAll
+    fun stopFleet() {
+        fleet.close()
+        Files.writeString(Path.of("target", "recovery.md"), figures.joinToString("\n", postfix = "\n"))
+    }
+
+    private fun learnEntry(name: String) {
+        val start = starts.merge(name, 1, Int::plus)
+        entries[name] = KnownEntry(Incarnation(InstanceId(name), "$start"), checkNotNull(fleet.addressOf(name)))
+    }
+
+    /** The platform notices after a while that an instance has gone. */
+    private fun unlist(name: String) {
+        HttpInstanceDirectory(fleet.platform).remove(InstanceId(name))
+    }
+
+    private fun restartEntry(name: String) {
+        unlist(name)
+        fleet.startEntry(name, if (name == "entry-1") "domain-1" else "domain-2")
+        await("$name is back") { fleet.addressOf(name)?.let { CallerClient(it).isReady() } ?: false }
+        learnEntry(name)
+    }
+
+    private fun platformFaults(json: String) {
+        CallerClient(fleet.platform).post("/faults", null, json)
+    }
+
+    /** The steward that holds the first duty, and a number that grows with each holder. */
+    private fun dutyHolder(): Pair<String, Long>? = fleet.store.list(DUTY_PREFIX).getOrNull()?.firstOrNull()
+        ?.let { checkNotNull(Incarnation.parse(it.value)).instance.value to it.created.value }
+
+    private fun awaitNewHolder(former: Long) {
+        await("another holder of the duty") { (dutyHolder()?.second ?: 0) > former }
+    }
+
+    /** Begins [fault] under load, waits for answers, and notes how long callers waited and what they lost. */
+    private fun underLoad(name: String, fault: () -> Unit) {
+        val load = SteadyLoad(caller) { entries.values.sortedBy { it.incarnation.instance.value } }
+        load.use {
+            load.awaitAnswers(ANSWERS_BEFORE)
+            val started = TimeSource.Monotonic.markNow()
+            fault()
+            await("an answer to a request sent after $name") {
+                load.keys.any { it.answeredAfter != null && it.firstSent > started }
+            }
+            load.awaitAnswers(ANSWERS_AFTER)
+            val next = load.keys.filter { it.answeredAfter != null && it.firstSent > started }
+                .minOf { it.firstSent + checkNotNull(it.answeredAfter) - started }
+            note(name, next, load.keys)
+        }
+        val lost = load.keys.filter { it.answeredAfter == null }
+        assertEquals(emptyList(), lost.map { it.key to it.failures.last() }, name)
+    }
+
+    private fun note(name: String, next: Duration, keys: List<ServedKey>) {
+        val broken = keys.flatMap { it.failures }.count { it is CallerOutcome.Cut || it is CallerOutcome.MayHaveRun }
+        val longest = keys.mapNotNull { it.answeredAfter }.max().inWholeMilliseconds
+        val unanswered = keys.count { it.answeredAfter == null }
+        figures += "| $name | ${next.inWholeMilliseconds} ms | $longest ms | $broken | $unanswered |"
+    }
+
+    private fun noteTime(what: String, action: () -> Unit) {
+        val took = measureTime(action)
+        figures += "| $what | ${took.inWholeMilliseconds} ms | | | |"
+    }
+
+    private fun killEntry() {
+        underLoad("kill -9 of an entry") { fleet.processes.kill("entry-1") }
+        restartEntry("entry-1")
+    }
+
+    private fun killRunner() {
+        underLoad("kill -9 of a runner") { fleet.processes.kill("runner-2") }
+        unlist("runner-2")
+        fleet.startRunner("runner-2", "domain-2", "advisor-small@2", "advisor-large@1")
+    }
+
+    private fun killSteward() {
+        val (holder, number) = checkNotNull(dutyHolder())
+        underLoad("kill -9 of the steward that holds the duty") { fleet.processes.kill(holder) }
+        noteTime("until another steward holds the duty") { awaitNewHolder(number) }
+        unlist(holder)
+        fleet.startSteward(holder)
+    }
+
+    private fun freezeSteward() {
+        val (holder, number) = checkNotNull(dutyHolder())
+        underLoad("freeze of the steward that holds the duty, past its lease") {
+            fleet.processes.signal(holder, "STOP")
+            awaitNewHolder(number)
+        }
+        fleet.processes.signal(holder, "CONT")
+    }
+
+    /** Frozen so long that the platform drops the entry and a steward seals its bills. */
+    private fun freezeEntry() {
+        val frozen = entries.getValue("entry-2")
+        entries.remove("entry-2")
+        underLoad("freeze of an entry until its bills are sealed") {
+            fleet.processes.signal("entry-2", "STOP")
+            unlist("entry-2")
+            await("the bills of entry-2 are sealed") { sealedEntries().any { it.instance.value == "entry-2" } }
+        }
+        fleet.processes.signal("entry-2", "CONT")
+        entries["entry-2"] = frozen
+        underLoad("an entry that wakes after its bills were sealed") { }
+    }
+
+    private fun sealedEntries(): List<Incarnation> = fleet.store.list(BILL_CELL_PREFIX).getOrNull().orEmpty()
+        .filter { BillCell.fromJson(it.value).state != CellState.OPEN }
+        .mapNotNull { Incarnation.parse(it.key.removePrefix(BILL_CELL_PREFIX)) }
+
+    private fun platformOutage() {
+        underLoad("outage of the key-value service") { platformFaults("""{"isDown":true}""") }
+        underLoad("end of the outage") { platformFaults("{}") }
+    }
+
+    private fun applyLists(faults: String) {
+        platformFaults(faults)
+        val store = ListsStore(fleet.store)
+        noteTime("lists in force at all entries, platform with $faults") {
+            val base = store.read().getOrElse { error("$it") }
+            val next = checkNotNull(base.lists).copy(revision = base.nextRevision)
+            recorder.record { HistoryEvent.ListsAccepted(it, next) }
+            store.replace(base, next).getOrElse { error("$it") }
+            await("the lists are in force") {
+                entries.values.all { caller.seeRevision(it) == next.revision.value }
+            }
+        }
+        platformFaults("{}")
+    }
+
+    private fun shutDownEntry() {
+        val entry = entries.getValue("entry-2").incarnation
+        underLoad("graceful shutdown of an entry") {
+            recorder.record { HistoryEvent.ShutdownStarted(it, entry) }
+            fleet.processes.signal("entry-2", "TERM")
+            fleet.processes.process("entry-2").waitFor()
+            recorder.record { HistoryEvent.ShutdownEnded(it, entry) }
+            entries.remove("entry-2")
+        }
+        restartEntry("entry-2")
+    }
+
+    private fun checkHistory() {
+        recordRuns()
+        val due = recorder.history().events.filterIsInstance<HistoryEvent.RequestEnded>()
+            .count { (it.outcome as? CallerOutcome.Answered)?.isBilled == true }.toLong()
+        runCatching { await("all bills are stored") { storedBills(fleet.store).values.sumOf { it.answers } >= due } }
+        storedBills(fleet.store).forEach { (account, sums) ->
+            recorder.record { HistoryEvent.BillsStored(it, account, sums.answers, sums.priceMicros) }
+        }
+        entries.values.forEach { caller.seeRevision(it) }
+        val history = recorder.history()
+        Files.writeString(Path.of("target", "processes.jsonl"), encodeHistory(history))
+        val verdicts = checkAll(history)
+        assertEquals(emptyList(), verdicts.filterIsInstance<Verdict.Broken>().flatMap { it.violations })
+        val checked = verdicts.filterIsInstance<Verdict.Holds>().map { it.promise }
+        assertTrue(checked.containsAll(SHOWN), "checked are only $checked")
+    }
+
+    private fun recordRuns() {
+        for (runner in listOf("runner-1", "runner-2", "runner-3")) {
+            for (line in Files.readAllLines(fleet.runLog(runner))) {
+                val run = PlatformJson.decodeFromString(SeenRequest.serializer(), line)
+                recorder.record {
+                    HistoryEvent.RunStarted(
+                        at = HistoryTime(run.startedAtEpochMilliseconds),
+                        endpoint = InstanceId(runner),
+                        attempt = AttemptId(run.attempt),
+                        key = RequestKey(run.prompt.substringBefore(' ')),
+                        version = ModelVersionReference.parse(run.model),
+                    )
+                }
+            }
+        }
+    }
+
+    /** The steps run in this order, on the same fleet. */
+    @TestFactory
+    fun `faults of separate processes`(): List<DynamicTest> = listOf(
+        "lists reach all entries" to { applyLists("{}") },
+        "a killed entry" to ::killEntry,
+        "a killed runner" to ::killRunner,
+        "a killed steward" to ::killSteward,
+        "a frozen steward" to ::freezeSteward,
+        "a frozen entry" to ::freezeEntry,
+        "a platform that is down and comes back" to ::platformOutage,
+        "lists reach all entries from a slow platform" to { applyLists("""{"delayMilliseconds":300}""") },
+        "a graceful shutdown" to ::shutDownEntry,
+        "the history of all of them" to ::checkHistory,
+    ).map { (name, step) -> DynamicTest.dynamicTest(name, step) }
+
+    private companion object {
+        const val ANSWERS_BEFORE = 20
+        const val ANSWERS_AFTER = 40
+        val SHOWN = setOf(
+            Promise.PLAN_ALLOWS_VERSION,
+            Promise.BILLED_ONCE,
+            Promise.WHOLE_OWN_ANSWER,
+            Promise.SHUTDOWN_CUTS_NOTHING,
+            Promise.LISTS_IN_FORCE,
+        )
+    }
+}
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/SmallFleet.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/SmallFleet.kt
@@ -56,10 +56,13 @@
         val options = versions.flatMap { listOf("--version", it) }.toTypedArray()
         processes.start(
             instance, STAND_INS, "runner", "--platform", platform, "--instance", instance,
-            "--failure-domain", failureDomain, "--token-delay", "5", *options,
+            "--failure-domain", failureDomain, "--token-delay", "5", "--run-log", "${runLog(instance)}", *options,
         )
     }
 
+    /** The file with the runs of the runner [instance], one a line. */
+    fun runLog(instance: String): Path = processes.directory.resolve("$instance.runs")
+
     fun startEntry(instance: String, failureDomain: String) {
         val settings = writeSettings(
             instance,
@@ -84,6 +87,11 @@
             peerAddress: 127.0.0.1:0
             operatorAddress: 127.0.0.1:0
             platformAddress: $platform
+            leaseTimeToLive: 2s
+            leaseMargin: 500ms
+            dutyPeriod: 200ms
+            billPeriod: 500ms
+            goneAfter: 3s
             """,
         )
         processes.start(instance, STEWARD, "--settings", "$settings")
--- a/history/src/main/kotlin/io/quetzalfield/history/AnswerCheckers.kt
+++ b/history/src/main/kotlin/io/quetzalfield/history/AnswerCheckers.kt
@@ -9,7 +9,7 @@
 /** The sums that the platform keeps must count each answered request key once. */
 public val billChecker: PromiseChecker<BillsStored> = PromiseChecker(
     promise = Promise.BILLED_ONCE,
-    cases = { history -> history.events<BillsStored>().filter { history.keysThatRan(it.account).isNotEmpty() } },
+    cases = { history -> history.events<BillsStored>().filter { history.keysToBill(it.account).isNotEmpty() } },
     subject = BillsStored::account,
     fault = { bills ->
         val expected = expectedBills(bills.account)
@@ -72,7 +72,7 @@
 
 /** A key whose caller saw no whole answer may be billed all the same, if it ran. */
 private fun History.expectedBills(account: ClientAccountId): ExpectedBills {
-    val keys = keysThatRan(account)
+    val keys = keysToBill(account)
     val answers = keys.associateWith { key -> sends(key).mapNotNull { outcome(it) as? CallerOutcome.Answered } }
     val answered = answers.filterValues { it.isNotEmpty() }
     return ExpectedBills(
@@ -83,11 +83,14 @@
     )
 }
 
-private fun History.keysThatRan(account: ClientAccountId): Set<RequestKey> = sends
-    .filter { it.account == account && it.operation == RequestOperation.COMPLETION && runs(it.key).isNotEmpty() }
+private fun History.keysToBill(account: ClientAccountId): Set<RequestKey> = sends
+    .filter { it.account == account && it.operation == RequestOperation.COMPLETION && isRun(it) }
     .map(RequestSent::key)
     .toSet()
 
+private fun History.isRun(send: RequestSent): Boolean =
+    runs(send.key).isNotEmpty() || outcome(send) is CallerOutcome.Answered
+
 internal fun History.outcome(send: RequestSent): CallerOutcome? = end(send.request)?.outcome
 
 /** The sends that [run] may belong to: those that were open when it started, else the last one before it. */
--- a/standins/src/main/kotlin/io/quetzalfield/standins/Main.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/Main.kt
@@ -18,6 +18,7 @@
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.ServiceId
 import io.quetzalfield.platform.HttpInstanceDirectory
+import io.quetzalfield.platform.PlatformJson
 import io.quetzalfield.support.awaitTermination
 import java.nio.file.Files
 import java.nio.file.StandardCopyOption
@@ -65,6 +66,7 @@
     private val versions by option("--version", help = "model@version that is loaded").multiple(required = true)
     private val tokenDelay by option("--token-delay", help = "milliseconds between tokens").long().default(0)
     private val slots by option("--slots").int().default(8)
+    private val runLog by option("--run-log", help = "file to which each run is appended as a line of JSON").path()
     private val ignoresFencing by option("--ignores-fencing", help = "take orders with old numbers").flag()
 
     override fun run() {
@@ -76,6 +78,7 @@
             slots = slots,
             tokenDelayMilliseconds = tokenDelay,
             refusesOldOrders = !ignoresFencing,
+            onRun = ::logRun,
             crash = { Runtime.getRuntime().halt(CRASH_STATUS) },
         )
         list(
@@ -90,6 +93,11 @@
         )
         awaitTermination(runner)
     }
+
+    private fun logRun(run: SeenRequest) {
+        val line = PlatformJson.encodeToString(SeenRequest.serializer(), run) + "\n"
+        runLog?.let { Files.writeString(it, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND) }
+    }
 }
 
 private class ServiceCommand : ListedCommand("service") {
--- a/standins/src/main/kotlin/io/quetzalfield/standins/RunnerStandIn.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/RunnerStandIn.kt
@@ -65,6 +65,7 @@
  *
  * @param tokenDelayMilliseconds time between tokens.
  * @param refusesOldOrders whether orders with an old fencing number are refused.
+ * @param onRun is told of each request as it starts to run.
  * @param crash what a request does that crashes the runner.
  */
 public class RunnerStandIn(
@@ -75,6 +76,7 @@
     private val tokenDelayMilliseconds: Long = 0,
     private val refusesOldOrders: Boolean = true,
     private val clock: Clock = Clock.System,
+    private val onRun: (SeenRequest) -> Unit = {},
     private val crash: () -> Unit = {},
 ) : AutoCloseable {
     private val running = AtomicInteger()
@@ -143,13 +145,15 @@
         try {
             val attempt = context.header(REQUEST_ID_HEADER) ?: "none"
             val words = answerWords(request)
-            seen += SeenRequest(
+            val started = SeenRequest(
                 attempt = attempt,
                 model = request.model,
                 tokens = words.size,
                 prompt = request.messages.lastOrNull()?.content.orEmpty(),
                 startedAtEpochMilliseconds = clock.now().toEpochMilliseconds(),
             )
+            seen += started
+            onRun(started)
             if (shouldCrash(request)) crash()
             stream(context, request, attempt, words)
         } catch (_: IOException) {
