--- /dev/null
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/ListsEdits.kt
@@ -0,0 +1,58 @@
+package io.quetzalfield.distribution
+
+import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.ModelVersion
+import io.quetzalfield.model.ModelVersionReference
+import io.quetzalfield.model.OperatorLists
+import io.quetzalfield.model.SigningKey
+import io.quetzalfield.model.VersionState
+import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.platform.bills.ACCOUNT_BILL_PREFIX
+import io.quetzalfield.platform.bills.AccountBill
+import io.quetzalfield.platform.bills.BILL_CELL_PREFIX
+import io.quetzalfield.platform.bills.BillCell
+import io.quetzalfield.platform.bills.BillTotals
+import io.quetzalfield.platform.bills.CellState
+
+internal fun OperatorLists.withVersion(name: String, edit: (ModelVersion) -> ModelVersion): OperatorLists {
+    val reference = checkNotNull(ModelVersionReference.parse(name))
+    val edited = models.models.map { model ->
+        if (model.id != reference.model) return@map model
+        model.copy(versions = model.versions.map { if (it.id == reference.version) edit(it) else it })
+    }
+    return copy(models = models.copy(models = edited))
+}
+
+internal fun OperatorLists.withdrawing(name: String): OperatorLists =
+    withVersion(name) { it.copy(state = VersionState.WITHDRAWN) }
+
+/** Puts a new signing key first and keeps the one before. */
+internal fun OperatorLists.withNewSigningKey(): OperatorLists {
+    val key = SigningKey("key-$revision", "secret of revision $revision".padEnd(32, '.'))
+    return copy(plans = plans.copy(signingKeys = listOf(key) + plans.signingKeys.take(1)))
+}
+
+/** An edit that changes nothing but the revision and one allowance. */
+internal fun OperatorLists.withMoreAllowance(): OperatorLists = copy(
+    plans = plans.copy(accounts = plans.accounts.map { it.copy(tokensPerMinute = it.tokensPerMinute + 1) }),
+)
+
+/** An edit that changes nothing but the revision and the weights. */
+internal fun OperatorLists.withMoreWeight(): OperatorLists = copy(
+    plans = plans.copy(accounts = plans.accounts.map { it.copy(weight = it.weight + 1) }),
+)
+
+/** What the store bills each account: the folded sums, and the cells that are not in them. */
+internal fun storedBills(store: KeyValueStore): Map<ClientAccountId, BillTotals> {
+    val folded = checkNotNull(store.list(ACCOUNT_BILL_PREFIX).getOrNull())
+        .associate { ClientAccountId(it.key.removePrefix(ACCOUNT_BILL_PREFIX)) to AccountBill.fromJson(it.value) }
+    val cells = checkNotNull(store.list(BILL_CELL_PREFIX).getOrNull())
+        .associate { Incarnation.parse(it.key.removePrefix(BILL_CELL_PREFIX)) to BillCell.fromJson(it.value) }
+    val sums = folded.mapValues { it.value.totals }.toMutableMap()
+    for ((incarnation, cell) in cells.filterValues { it.state != CellState.FOLDED }) {
+        val missing = cell.totals.filterKeys { account -> incarnation !in folded[account]?.folded.orEmpty() }
+        missing.forEach { (account, totals) -> sums.merge(account, totals, BillTotals::plus) }
+    }
+    return sums
+}
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionAttempts.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionAttempts.kt
@@ -13,6 +13,7 @@
 import io.quetzalfield.model.FailureDomainId
 import io.quetzalfield.model.InstanceId
 import io.quetzalfield.model.InterruptionReason
+import io.quetzalfield.model.ListsSnapshot
 import io.quetzalfield.model.MayHaveRun
 import io.quetzalfield.model.NotRun
 import io.quetzalfield.model.RefusalReason
@@ -37,6 +38,7 @@
     private val observations: ObservationBook,
     private val metrics: EntryMetrics,
     private val journal: RequestJournal,
+    private val currentLists: () -> ListsSnapshot,
     private val delays: RetryDelays = RetryDelays(),
 ) {
     /** Runs [run] to its end. */
@@ -97,14 +99,10 @@
         return true
     }
 
-    private fun attemptOnce(run: CompletionRun): AttemptResult {
-        val refusal = checkPermission(run.call.snapshot, run.call.plan.id, run.version, run.call.pin != null)
-        if (refusal != null) return AttemptResult.Failed(refusal)
-        return guard.enter(run.fingerprint).fold(
-            { refused -> AttemptResult.Failed(refused) },
-            { mode -> if (mode == AttemptMode.ISOLATED) attemptIsolated(run) else attemptOrdinary(run) },
-        )
-    }
+    private fun attemptOnce(run: CompletionRun): AttemptResult = guard.enter(run.fingerprint).fold(
+        { refused -> AttemptResult.Failed(refused) },
+        { mode -> if (mode == AttemptMode.ISOLATED) attemptIsolated(run) else attemptOrdinary(run) },
+    )
 
     private fun attemptOrdinary(run: CompletionRun): AttemptResult {
         val views = loads.views()
@@ -147,7 +145,23 @@
     private fun isResumable(run: CompletionRun, runner: RunnerView): Boolean =
         run.version in runner.versions && loads.canResume(runner.id)
 
+    /** Why no attempt may be sent now. */
+    private fun obstacle(run: CompletionRun): NotRun? {
+        if (run.timeLeft.isPositive()) return checkPermission(run)
+        return NotRun(RefusalReason.DEADLINE_CANNOT_BE_MET, "no runner took the request before its deadline")
+    }
+
+    /**
+     * Checks the version against the snapshot of the decision and against the newest one, which may have withdrawn the
+     * version since.
+     */
+    private fun checkPermission(run: CompletionRun): NotRun? =
+        listOf(run.call.snapshot, currentLists()).firstNotNullOfOrNull { snapshot ->
+            checkPermission(snapshot, run.call.plan.id, run.version, isOnVersion = run.call.pin != null)
+        }
+
     private fun attempt(run: CompletionRun, runner: RunnerView): AttemptResult {
+        obstacle(run)?.let { return AttemptResult.Failed(it) }
         run.tried += runner.id
         val attempt = AttemptId(UUID.randomUUID().toString())
         run.onAttempt(attempt)
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
@@ -34,7 +34,7 @@
 /** The parts of an entry that guard what runs: admission, retries, crash suspects and roll-outs. */
 internal class EntryControl(
     private val incarnation: Incarnation,
-    lists: ListsHolder,
+    private val lists: ListsHolder,
     private val fleet: FleetView,
     private val loads: RunnerLoadTracker,
     peers: PeerClients,
@@ -74,6 +74,7 @@
         observations = observations,
         metrics = metrics,
         journal = journal,
+        currentLists = lists::snapshot,
     )
 
     /** Starts the periodic tasks; they have threads of their own, as a slow rating service may hold them up. */
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.entry
 
 import io.javalin.Javalin
+import io.javalin.util.JavalinException
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.decision.CascadeSettings
 import io.quetzalfield.decision.LearningRouting
@@ -29,6 +30,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** An entry that runs: it answers callers and peers until it is closed. */
 public class EntryProgram(
@@ -159,7 +161,7 @@
 
     private fun startCallerServer(): Javalin {
         val address = requireNotNull(HostPort.parse(settings.callerAddress)) { "checked with the settings" }
-        return startHttpServer(address.host, address.port, settings.largestBodyBytes) {
+        return startHttpServer(address.host, address.port, STOP_TIMEOUT, settings.largestBodyBytes) {
             callerApi.addRoutes(this)
             get("/metrics") { writeMetrics(it, metrics.registry) }
         }
@@ -217,15 +219,24 @@
         distribution.close()
         control.close()
         directory.remove(settings.instance)
-        server.stop()
+        stopServer()
         operatorServer.stop()
         peerServer.close()
         peers.close()
         logger.info("entry {} has stopped, {}", incarnation, if (isDrained) "drained" else "with requests running")
     }
 
+    private fun stopServer() {
+        try {
+            server.stop()
+        } catch (error: JavalinException) {
+            logger.warn("answers were still being written after {}", STOP_TIMEOUT, error)
+        }
+    }
+
     private companion object {
         const val OPERATOR_THREADS = 32
+        val STOP_TIMEOUT = 2.seconds
         const val LARGEST_CONCURRENCY = 4_096
         const val IDLE_CONNECTIONS = 256
         const val KEEP_ALIVE_MINUTES = 5L
--- a/operator/src/main/kotlin/io/quetzalfield/operator/ExitCode.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ExitCode.kt
@@ -16,4 +16,10 @@
 
     /** No live entry knows the request. */
     NOT_FOUND(6),
+
+    /** The recorded history cannot be read. */
+    HISTORY_UNREADABLE(7),
+
+    /** A recorded history breaks a promise, or says nothing about any. */
+    PROMISE_BROKEN(8),
 }
--- a/operator/src/main/kotlin/io/quetzalfield/operator/ExplainCommand.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ExplainCommand.kt
@@ -5,17 +5,32 @@
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.arguments.optional
 import com.github.ajalt.clikt.parameters.groups.provideDelegate
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.path
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.RequestId
 import io.quetzalfield.support.status.RequestExplanation
+import java.nio.file.Path
 
 /** Explains one request as the entry that decided it noted it. */
 internal class ExplainCommand(connector: PlatformConnector) :
     OperatorCommand("explain", "Explain a request: how it was decided, sent, answered and billed") {
     private val request by argument(help = "Request id, from the header Quetzalfield-Request of its answer").optional()
+    private val history by option("--check", help = "Recorded history to check against every promise").path()
     private val platform by PlatformOptions(connector)
 
     override fun run() {
+        val file = history
+        if (file == null) explainRequest() else checkHistory(file)
+    }
+
+    private fun checkHistory(file: Path) {
+        val report = HistoryCheck.check(file).getOrElse { fail(ExitCode.HISTORY_UNREADABLE, listOf(it)) }
+        report.lines.forEach { echo(it) }
+        if (!report.isRight) fail(ExitCode.PROMISE_BROKEN, listOf("a promise is broken, or none was checked"))
+    }
+
+    private fun explainRequest() {
         val id = RequestId(request ?: throw UsageError("name the request to explain"))
         val connection = platform.connect()
         val entries = connection.directory.instances()
--- a/operator/src/main/kotlin/io/quetzalfield/operator/ListsOptions.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ListsOptions.kt
@@ -1,5 +1,6 @@
 package io.quetzalfield.operator
 
+import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.parameters.groups.OptionGroup
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
@@ -16,9 +17,10 @@
 
 /** The option that names the platform. */
 internal class PlatformOptions(private val connector: PlatformConnector) : OptionGroup(name = "Platform") {
-    private val address by option("--platform", help = "http://host:port of the platform").required()
+    private val address by option("--platform", help = "http://host:port of the platform")
 
-    fun connect(): PlatformConnection = connector.connect(address)
+    fun connect(): PlatformConnection =
+        connector.connect(address ?: throw UsageError("name the platform with --platform http://host:port"))
 }
 
 /** Reads a duration with its unit, such as `500ms` or `10s`. */
--- a/operator/src/main/kotlin/io/quetzalfield/operator/QuetzalfieldCommand.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/QuetzalfieldCommand.kt
@@ -10,7 +10,8 @@
 
     override fun helpEpilog(context: Context): String =
         "Exit codes: 0 done, 1 wrong command line, 2 lists refused, 3 another operator has written since, " +
-            "4 the platform gave no answer, 5 written but not in force everywhere, 6 request not known."
+            "4 the platform gave no answer, 5 written but not in force everywhere, 6 request not known, " +
+            "7 history unreadable, 8 promise broken."
 
     override fun run() = Unit
 }
