Divide allowances by demand, and test tickets and claims by fault tables

Cause: every entry would have needed the whole allowance or a fixed part of it; the classes for tickets, claims and peer errors had no tests of their own.

Change: a steward divides fractions of allowances under the duty "allowances"; entries report demand, use granted fractions while they are valid, and fall back to a floor. AllowanceShares is the interface for admission.

--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -41,6 +41,8 @@
     private val peers = PeerClients()
     private val scheduler = newScheduler("entry")
     private val billedKeys = BilledKeys()
+    private val allowanceShares = GrantedAllowanceShares(entryCount = { fleet.entries.size })
+    private val demandReporter = DemandReporter(incarnation, fleet, peers, allowanceShares)
     private val ledger = BillLedger(
         process = incarnation,
         store = store,
@@ -96,6 +98,7 @@
         scheduler.every(settings.listRefresh, distribution::exchangeWithPeers)
         scheduler.every(settings.loadRefresh, loads::refresh)
         scheduler.every(settings.billFlush, ledger::flush)
+        scheduler.every(settings.demandReport, demandReporter::report)
         logger.info("entry {} serves callers at {} and peers at {}", incarnation, callerAddress, peerAddress)
     }
 
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntrySettings.kt
@@ -28,6 +28,8 @@
  * @property addressValidity how long callers may keep an address answer.
  * @property listRefresh time between two looks at the platform's list of instances.
  * @property loadRefresh time between two load reports of a runner.
+ * @property billFlush time between two writes of the bills.
+ * @property demandReport time between two reports of the demand by which allowances are divided.
  * @property listsStaleAfter time after which an entry that reaches neither the platform nor a peer refuses work.
  * @property shutdownGrace longest time that a shutdown waits for running requests.
  */
@@ -42,6 +44,7 @@
     val listRefresh: SettingDuration = 500.milliseconds,
     val loadRefresh: SettingDuration = 250.milliseconds,
     val billFlush: SettingDuration = 1.seconds,
+    val demandReport: SettingDuration = 2.seconds,
     val listsStaleAfter: SettingDuration = 15.seconds,
     val shutdownGrace: SettingDuration = 2.minutes,
     val largestBodyBytes: Long = DEFAULT_LARGEST_BODY_BYTES,
@@ -57,6 +60,7 @@
         "listRefresh" to settings.listRefresh,
         "loadRefresh" to settings.loadRefresh,
         "billFlush" to settings.billFlush,
+        "demandReport" to settings.demandReport,
         "listsStaleAfter" to settings.listsStaleAfter,
         "shutdownGrace" to settings.shutdownGrace,
     )
--- /dev/null
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/ServiceOperationsTest.kt
@@ -0,0 +1,240 @@
+package io.quetzalfield.entry
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.FailureDomainId
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.InstanceKind
+import io.quetzalfield.model.InterruptionReason
+import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.model.MayHaveRun
+import io.quetzalfield.model.NotRun
+import io.quetzalfield.model.RefusalReason
+import io.quetzalfield.model.RequestFailure
+import io.quetzalfield.model.RequestKey
+import io.quetzalfield.model.ServiceId
+import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.platform.LeaseId
+import io.quetzalfield.platform.StoreRevision
+import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
+import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
+import io.quetzalfield.support.startHttpServer
+import okhttp3.OkHttpClient
+import org.junit.jupiter.api.Nested
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.TestTimeSource
+
+private val ACCOUNT = ClientAccountId("workshop")
+private val KEY = RequestKey("booking-1")
+
+private fun incarnation(instance: String) = Incarnation(InstanceId(instance), "1")
+
+private fun call(body: String = "needle-1") =
+    ServiceCall(ACCOUNT, ServiceId("bookings"), "book", body.encodeToByteArray(), "application/json")
+
+/** A service in memory whose next answers are [outcomes], then successes. */
+private class FakeService(vararg outcomes: RequestFailure) : ServiceSender {
+    private val outcomes = ArrayDeque(outcomes.toList())
+    var runs = 0
+
+    override fun send(call: ServiceCall): Either<RequestFailure, ServiceAnswer> {
+        val failure = outcomes.removeFirstOrNull()
+        if (failure !is NotRun) runs++
+        return failure?.left() ?: ServiceAnswer(200, "text/plain", "run $runs".encodeToByteArray()).right()
+    }
+}
+
+/** What a caller learns: the body of an answer, or the reason of a failure. */
+private fun Either<RequestFailure, ServiceAnswer>.summary(): String = fold({ it.reason }, { it.body.decodeToString() })
+
+private val LOST = MayHaveRun(InterruptionReason.CONNECTION_LOST, "cut")
+private val UNREACHED = NotRun(RefusalReason.NO_RUNNER, "refused")
+
+class TicketRegistryTest {
+    private val time = TestTimeSource()
+    private val tickets = TicketRegistry(incarnation("entry-1"), timeSource = time)
+    private val service = FakeService()
+
+    private fun runs(service: FakeService, vararg calls: ServiceCall): List<String> {
+        val ticket = tickets.mint(ACCOUNT)
+        return calls.map { tickets.runOnce(it, ticket, service).summary() }
+    }
+
+    @Test
+    fun `a repetition gets what is known and never runs`() {
+        val cases = listOf(
+            Triple("answered", FakeService(), listOf("run 1", "run 1")),
+            Triple("cut", FakeService(LOST), listOf("connection_lost", "connection_lost")),
+            Triple("not reached", FakeService(UNREACHED), listOf("no_runner", "run 1")),
+        )
+        for ((case, service, expected) in cases) {
+            assertEquals(expected, runs(service, call(), call()), case)
+            assertEquals(1, service.runs, case)
+        }
+    }
+
+    @Test
+    fun `a ticket serves one operation only`() {
+        assertEquals(listOf("run 1", "idempotency_key_reused"), runs(service, call(), call("needle-2")))
+    }
+
+    @Test
+    fun `a ticket of another incarnation or one that was forgotten may have run`() {
+        val ticket = tickets.mint(ACCOUNT)
+        val foreign = ticket.copy(incarnation = incarnation("entry-2"))
+        assertEquals("outcome_unknown", tickets.runOnce(call(), foreign, service).summary())
+        time += 2.hours
+        assertEquals("outcome_unknown", tickets.runOnce(call(), ticket, service).summary())
+        assertEquals(0, service.runs)
+    }
+
+    @Test
+    fun `a repetition while the operation runs may have run`() {
+        val ticket = tickets.mint(ACCOUNT)
+        var meanwhile = ""
+        tickets.runOnce(call(), ticket) { inner ->
+            meanwhile = tickets.runOnce(inner, ticket, service).summary()
+            service.send(inner)
+        }
+        assertEquals("outcome_unknown", meanwhile)
+        assertEquals(1, service.runs)
+    }
+}
+
+class ClaimRegistryTest {
+    private val time = TestTimeSource()
+    private val store = InMemoryKeyValueStore(time)
+    private val service = FakeService()
+
+    private fun registry(instance: String, store: KeyValueStore = this.store) =
+        ClaimRegistry(incarnation(instance), store, ClaimLeases(store, timeSource = time), timeSource = time)
+
+    /** Runs the actions around the first write, as faults and pauses of the claimer would let them happen. */
+    private fun storeWith(beforeWrite: () -> Unit = {}, afterWrite: () -> Unit = {}) = object : KeyValueStore by store {
+        private var writes = 0
+
+        override fun compareAndSwap(key: String, expected: StoreRevision, value: String, lease: LeaseId?) = run {
+            val isFirst = ++writes == 1
+            if (isFirst) beforeWrite()
+            store.compareAndSwap(key, expected, value, lease).also { if (isFirst) afterWrite() }
+        }
+    }
+
+    @Nested
+    inner class Once {
+        @Test
+        fun `of two entries one runs the operation`() {
+            val outcomes = listOf("entry-1", "entry-2").map { registry(it).runOnce(call(), KEY, service).summary() }
+            assertEquals(listOf("run 1", "outcome_unknown"), outcomes)
+            assertEquals(1, service.runs)
+        }
+
+        @Test
+        fun `a repetition at the same entry gets the known answer`() {
+            val registry = registry("entry-1")
+            assertEquals(listOf("run 1", "run 1"), List(2) { registry.runOnce(call(), KEY, service).summary() })
+        }
+
+        @Test
+        fun `an operation that did not reach the service is sent again under the same claim`() {
+            val registry = registry("entry-1")
+            val service = FakeService(UNREACHED)
+            val outcomes = List(2) { registry.runOnce(call(), KEY, service).summary() }
+            assertEquals(listOf("no_runner", "run 1"), outcomes)
+        }
+
+        @Test
+        fun `the key of one operation is refused for another at every entry`() {
+            registry("entry-1").runOnce(call(), KEY, service)
+            val second = registry("entry-2")
+            assertEquals("idempotency_key_reused", second.runOnce(call("needle-2"), KEY, service).summary())
+            assertEquals("outcome_unknown", second.runOnce(call(), KEY, service).summary())
+        }
+    }
+
+    @Nested
+    inner class Faults {
+        @Test
+        fun `a lost answer to the claim is read back`() {
+            val registry = registry("entry-1", storeWith(beforeWrite = { store.loseAnswers(1) }))
+            assertEquals("run 1", registry.runOnce(call(), KEY, service).summary())
+        }
+
+        @Test
+        fun `without the store nothing is sent, and the same entry can send later`() {
+            val registry = registry("entry-1")
+            store.isDown = true
+            assertEquals("claim_not_possible", registry.runOnce(call(), KEY, service).summary())
+            assertEquals(0, service.runs)
+            store.isDown = false
+            time += 1.minutes
+            assertEquals("run 1", registry.runOnce(call(), KEY, service).summary())
+        }
+
+        @Test
+        fun `a claim that was written although its answer was lost for long is used later`() {
+            val registry = registry(
+                "entry-1",
+                storeWith(beforeWrite = { store.loseAnswers(1) }, afterWrite = { store.isDown = true }),
+            )
+            assertEquals("claim_not_possible", registry.runOnce(call(), KEY, service).summary())
+            store.isDown = false
+            assertEquals("run 1", registry.runOnce(call(), KEY, service).summary())
+            assertEquals("outcome_unknown", registry("entry-2").runOnce(call(), KEY, service).summary())
+        }
+
+        @Test
+        fun `a claimer that was paused for longer than the limit does not send`() {
+            for (pause in listOf(2.minutes, 30.hours)) {
+                val key = RequestKey("booking $pause")
+                val registry = registry("entry-1", storeWith(afterWrite = { time += pause }))
+                assertEquals("claim_not_possible", registry.runOnce(call(), key, service).summary())
+            }
+            assertEquals(0, service.runs)
+        }
+
+        @Test
+        fun `a claimer that is paused before its write finds the claim of another`() {
+            val other = { registry("entry-2").runOnce(call(), KEY, service) }
+            val registry = registry("entry-1", storeWith(beforeWrite = { other() }))
+            assertEquals("outcome_unknown", registry.runOnce(call(), KEY, service).summary())
+            assertEquals(1, service.runs)
+        }
+    }
+}
+
+class ServiceClientTest {
+    @Test
+    fun `a service that asks to be called again at once is called once`() {
+        val calls = AtomicInteger()
+        val server = startHttpServer("127.0.0.1", 0) {
+            post("/operations/book") { context ->
+                calls.incrementAndGet()
+                context.status(503).header("Retry-After", "0").result("busy")
+            }
+        }
+        val directory = InMemoryInstanceDirectory()
+        directory.announce(
+            ListedInstance(
+                id = InstanceId("service-1"),
+                kind = InstanceKind.SERVICE,
+                address = "http://127.0.0.1:${server.port()}",
+                failureDomain = FailureDomainId("domain-1"),
+                service = ServiceId("bookings"),
+            ),
+        )
+        val fleet = FleetView(directory).apply { refresh() }
+        val result = ServiceClient(fleet, OkHttpClient()).send(call())
+        server.stop()
+        assertEquals(503, assertIs<Either.Right<ServiceAnswer>>(result).value.status)
+        assertEquals(1, calls.get())
+    }
+}
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/AccountShare.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/AccountShare.java
@@ -79,15 +79,19 @@
     }
   }
 
-  public static final int TOKENS_PER_MINUTE_FIELD_NUMBER = 2;
-  private double tokensPerMinute_ = 0D;
+  public static final int FRACTION_FIELD_NUMBER = 2;
+  private double fraction_ = 0D;
   /**
-   * <code>double tokens_per_minute = 2;</code>
-   * @return The tokensPerMinute.
+   * <pre>
+   * Part of the account's allowance, from 0 to 1, beside the part that every entry has.
+   * </pre>
+   *
+   * <code>double fraction = 2;</code>
+   * @return The fraction.
    */
   @java.lang.Override
-  public double getTokensPerMinute() {
-    return tokensPerMinute_;
+  public double getFraction() {
+    return fraction_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -107,8 +111,8 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(clientAccount_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 1, clientAccount_);
     }
-    if (java.lang.Double.doubleToRawLongBits(tokensPerMinute_) != 0) {
-      output.writeDouble(2, tokensPerMinute_);
+    if (java.lang.Double.doubleToRawLongBits(fraction_) != 0) {
+      output.writeDouble(2, fraction_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -122,9 +126,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(clientAccount_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(1, clientAccount_);
     }
-    if (java.lang.Double.doubleToRawLongBits(tokensPerMinute_) != 0) {
+    if (java.lang.Double.doubleToRawLongBits(fraction_) != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(2, tokensPerMinute_);
+        .computeDoubleSize(2, fraction_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -143,9 +147,9 @@
 
     if (!getClientAccount()
         .equals(other.getClientAccount())) return false;
-    if (java.lang.Double.doubleToLongBits(getTokensPerMinute())
+    if (java.lang.Double.doubleToLongBits(getFraction())
         != java.lang.Double.doubleToLongBits(
-            other.getTokensPerMinute())) return false;
+            other.getFraction())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -159,9 +163,9 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + CLIENT_ACCOUNT_FIELD_NUMBER;
     hash = (53 * hash) + getClientAccount().hashCode();
-    hash = (37 * hash) + TOKENS_PER_MINUTE_FIELD_NUMBER;
+    hash = (37 * hash) + FRACTION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getTokensPerMinute()));
+        java.lang.Double.doubleToLongBits(getFraction()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -294,7 +298,7 @@
       super.clear();
       bitField0_ = 0;
       clientAccount_ = "";
-      tokensPerMinute_ = 0D;
+      fraction_ = 0D;
       return this;
     }
 
@@ -332,7 +336,7 @@
         result.clientAccount_ = clientAccount_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.tokensPerMinute_ = tokensPerMinute_;
+        result.fraction_ = fraction_;
       }
     }
 
@@ -385,8 +389,8 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (other.getTokensPerMinute() != 0D) {
-        setTokensPerMinute(other.getTokensPerMinute());
+      if (other.getFraction() != 0D) {
+        setFraction(other.getFraction());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -420,7 +424,7 @@
               break;
             } // case 10
             case 17: {
-              tokensPerMinute_ = input.readDouble();
+              fraction_ = input.readDouble();
               bitField0_ |= 0x00000002;
               break;
             } // case 17
@@ -513,34 +517,46 @@
       return this;
     }
 
-    private double tokensPerMinute_ ;
+    private double fraction_ ;
     /**
-     * <code>double tokens_per_minute = 2;</code>
-     * @return The tokensPerMinute.
+     * <pre>
+     * Part of the account's allowance, from 0 to 1, beside the part that every entry has.
+     * </pre>
+     *
+     * <code>double fraction = 2;</code>
+     * @return The fraction.
      */
     @java.lang.Override
-    public double getTokensPerMinute() {
-      return tokensPerMinute_;
+    public double getFraction() {
+      return fraction_;
     }
     /**
-     * <code>double tokens_per_minute = 2;</code>
-     * @param value The tokensPerMinute to set.
+     * <pre>
+     * Part of the account's allowance, from 0 to 1, beside the part that every entry has.
+     * </pre>
+     *
+     * <code>double fraction = 2;</code>
+     * @param value The fraction to set.
      * @return This builder for chaining.
      */
-    public Builder setTokensPerMinute(double value) {
+    public Builder setFraction(double value) {
 
-      tokensPerMinute_ = value;
+      fraction_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>double tokens_per_minute = 2;</code>
+     * <pre>
+     * Part of the account's allowance, from 0 to 1, beside the part that every entry has.
+     * </pre>
+     *
+     * <code>double fraction = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearTokensPerMinute() {
+    public Builder clearFraction() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      tokensPerMinute_ = 0D;
+      fraction_ = 0D;
       onChanged();
       return this;
     }
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/AccountShareOrBuilder.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/AccountShareOrBuilder.java
@@ -21,8 +21,12 @@
       getClientAccountBytes();
 
   /**
-   * <code>double tokens_per_minute = 2;</code>
-   * @return The tokensPerMinute.
+   * <pre>
+   * Part of the account's allowance, from 0 to 1, beside the part that every entry has.
+   * </pre>
+   *
+   * <code>double fraction = 2;</code>
+   * @return The fraction.
    */
-  double getTokensPerMinute();
+  double getFraction();
 }
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/DemandReport.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/DemandReport.java
@@ -125,7 +125,7 @@
   private long confirmedGeneration_ = 0L;
   /**
    * <pre>
-   * The newest division that the sender holds to; zero for none.
+   * The newest division that the sender uses; zero for none.
    * </pre>
    *
    * <code>int64 confirmed_generation = 3;</code>
@@ -136,6 +136,21 @@
     return confirmedGeneration_;
   }
 
+  public static final int FENCING_NUMBER_FIELD_NUMBER = 4;
+  private long fencingNumber_ = 0L;
+  /**
+   * <pre>
+   * The fencing number of the divider that made it.
+   * </pre>
+   *
+   * <code>int64 fencing_number = 4;</code>
+   * @return The fencingNumber.
+   */
+  @java.lang.Override
+  public long getFencingNumber() {
+    return fencingNumber_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -159,6 +174,9 @@
     if (confirmedGeneration_ != 0L) {
       output.writeInt64(3, confirmedGeneration_);
     }
+    if (fencingNumber_ != 0L) {
+      output.writeInt64(4, fencingNumber_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -179,6 +197,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, confirmedGeneration_);
     }
+    if (fencingNumber_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, fencingNumber_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -200,6 +222,8 @@
         .equals(other.getDemandsList())) return false;
     if (getConfirmedGeneration()
         != other.getConfirmedGeneration()) return false;
+    if (getFencingNumber()
+        != other.getFencingNumber()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -220,6 +244,9 @@
     hash = (37 * hash) + CONFIRMED_GENERATION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfirmedGeneration());
+    hash = (37 * hash) + FENCING_NUMBER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getFencingNumber());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -360,6 +387,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000002);
       confirmedGeneration_ = 0L;
+      fencingNumber_ = 0L;
       return this;
     }
 
@@ -412,6 +440,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.confirmedGeneration_ = confirmedGeneration_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.fencingNumber_ = fencingNumber_;
+      }
     }
 
     @java.lang.Override
@@ -492,6 +523,9 @@
       if (other.getConfirmedGeneration() != 0L) {
         setConfirmedGeneration(other.getConfirmedGeneration());
       }
+      if (other.getFencingNumber() != 0L) {
+        setFencingNumber(other.getFencingNumber());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -541,6 +575,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              fencingNumber_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -873,7 +912,7 @@
     private long confirmedGeneration_ ;
     /**
      * <pre>
-     * The newest division that the sender holds to; zero for none.
+     * The newest division that the sender uses; zero for none.
      * </pre>
      *
      * <code>int64 confirmed_generation = 3;</code>
@@ -885,7 +924,7 @@
     }
     /**
      * <pre>
-     * The newest division that the sender holds to; zero for none.
+     * The newest division that the sender uses; zero for none.
      * </pre>
      *
      * <code>int64 confirmed_generation = 3;</code>
@@ -901,7 +940,7 @@
     }
     /**
      * <pre>
-     * The newest division that the sender holds to; zero for none.
+     * The newest division that the sender uses; zero for none.
      * </pre>
      *
      * <code>int64 confirmed_generation = 3;</code>
@@ -913,6 +952,50 @@
       onChanged();
       return this;
     }
+
+    private long fencingNumber_ ;
+    /**
+     * <pre>
+     * The fencing number of the divider that made it.
+     * </pre>
+     *
+     * <code>int64 fencing_number = 4;</code>
+     * @return The fencingNumber.
+     */
+    @java.lang.Override
+    public long getFencingNumber() {
+      return fencingNumber_;
+    }
+    /**
+     * <pre>
+     * The fencing number of the divider that made it.
+     * </pre>
+     *
+     * <code>int64 fencing_number = 4;</code>
+     * @param value The fencingNumber to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFencingNumber(long value) {
+
+      fencingNumber_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The fencing number of the divider that made it.
+     * </pre>
+     *
+     * <code>int64 fencing_number = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFencingNumber() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      fencingNumber_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/DemandReportOrBuilder.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/DemandReportOrBuilder.java
@@ -46,11 +46,21 @@
 
   /**
    * <pre>
-   * The newest division that the sender holds to; zero for none.
+   * The newest division that the sender uses; zero for none.
    * </pre>
    *
    * <code>int64 confirmed_generation = 3;</code>
    * @return The confirmedGeneration.
    */
   long getConfirmedGeneration();
+
+  /**
+   * <pre>
+   * The fencing number of the divider that made it.
+   * </pre>
+   *
+   * <code>int64 fencing_number = 4;</code>
+   * @return The fencingNumber.
+   */
+  long getFencingNumber();
 }
--- a/peer-wire/src/main/java/io/quetzalfield/peer/wire/PeerOuterClass.java
+++ b/peer-wire/src/main/java/io/quetzalfield/peer/wire/PeerOuterClass.java
@@ -191,48 +191,49 @@
       "(\t\0224\n\014fingerprints\030\002 \003(\0132\036.quetzalfield." +
       "peer.Fingerprint\"B\n\rAccountDemand\022\026\n\016cli" +
       "ent_account\030\001 \001(\t\022\031\n\021tokens_per_minute\030\002" +
-      " \001(\001\"t\n\014DemandReport\022\023\n\013incarnation\030\001 \001(" +
-      "\t\0221\n\007demands\030\002 \003(\0132 .quetzalfield.peer.A" +
-      "ccountDemand\022\034\n\024confirmed_generation\030\003 \001" +
-      "(\003\"A\n\014AccountShare\022\026\n\016client_account\030\001 \001" +
-      "(\t\022\031\n\021tokens_per_minute\030\002 \001(\001\"\210\001\n\nShareR" +
-      "eply\022\026\n\016fencing_number\030\001 \001(\003\022\035\n\025validity" +
-      "_milliseconds\030\002 \001(\003\022/\n\006shares\030\003 \003(\0132\037.qu" +
-      "etzalfield.peer.AccountShare\022\022\n\ngenerati" +
-      "on\030\004 \001(\003\"U\n\013VersionStop\022\r\n\005model\030\001 \001(\t\022\017" +
-      "\n\007version\030\002 \001(\t\022\016\n\006reason\030\003 \001(\t\022\026\n\016lists" +
-      "_revision\030\004 \001(\003\"\022\n\020VersionStopReply\"\025\n\023O" +
-      "bservationsRequest\"\203\001\n\023VersionObservatio" +
-      "ns\022\r\n\005model\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\017\n\007an" +
-      "swers\030\003 \001(\003\022\r\n\005rated\030\004 \001(\003\022\016\n\006passed\030\005 \001" +
-      "(\003\022\016\n\006errors\030\006 \001(\003\022\014\n\004slow\030\007 \001(\003\"b\n\021Obse" +
-      "rvationsReply\022\023\n\013incarnation\030\001 \001(\t\0228\n\010ve" +
-      "rsions\030\002 \003(\0132&.quetzalfield.peer.Version" +
-      "Observations2\243\007\n\004Peer\022M\n\rExchangeLists\022\035" +
-      ".quetzalfield.peer.ListsOffer\032\035.quetzalf" +
-      "ield.peer.ListsReply\022H\n\tPushLists\022\034.quet" +
-      "zalfield.peer.ListsPush\032\035.quetzalfield.p" +
-      "eer.ListsReply\022M\n\013WitnessBill\022\035.quetzalf" +
-      "ield.peer.BillRecord\032\037.quetzalfield.peer" +
-      ".WitnessReply\022O\n\013ForgetBills\022 .quetzalfi" +
-      "eld.peer.ForgetRequest\032\036.quetzalfield.pe" +
-      "er.ForgetReply\022R\n\014CollectBills\022!.quetzal" +
-      "field.peer.CollectRequest\032\037.quetzalfield" +
-      ".peer.CollectReply\022W\n\rListWitnessed\022#.qu" +
-      "etzalfield.peer.WitnessedRequest\032!.quetz" +
-      "alfield.peer.WitnessedReply\022O\n\007Forward\022!" +
-      ".quetzalfield.peer.ForwardRequest\032\037.quet" +
-      "zalfield.peer.ForwardReply0\001\022^\n\024Exchange" +
-      "Fingerprints\022\".quetzalfield.peer.Fingerp" +
-      "rintList\032\".quetzalfield.peer.Fingerprint" +
-      "List\022N\n\014ReportDemand\022\037.quetzalfield.peer" +
-      ".DemandReport\032\035.quetzalfield.peer.ShareR" +
-      "eply\022R\n\013StopVersion\022\036.quetzalfield.peer." +
-      "VersionStop\032#.quetzalfield.peer.VersionS" +
-      "topReply\022`\n\020ReadObservations\022&.quetzalfi" +
-      "eld.peer.ObservationsRequest\032$.quetzalfi" +
-      "eld.peer.ObservationsReplyB\035\n\031io.quetzal" +
-      "field.peer.wireP\001b\006proto3"
+      " \001(\001\"\214\001\n\014DemandReport\022\023\n\013incarnation\030\001 \001" +
+      "(\t\0221\n\007demands\030\002 \003(\0132 .quetzalfield.peer." +
+      "AccountDemand\022\034\n\024confirmed_generation\030\003 " +
+      "\001(\003\022\026\n\016fencing_number\030\004 \001(\003\"8\n\014AccountSh" +
+      "are\022\026\n\016client_account\030\001 \001(\t\022\020\n\010fraction\030" +
+      "\002 \001(\001\"\210\001\n\nShareReply\022\026\n\016fencing_number\030\001" +
+      " \001(\003\022\035\n\025validity_milliseconds\030\002 \001(\003\022/\n\006s" +
+      "hares\030\003 \003(\0132\037.quetzalfield.peer.AccountS" +
+      "hare\022\022\n\ngeneration\030\004 \001(\003\"U\n\013VersionStop\022" +
+      "\r\n\005model\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\016\n\006reaso" +
+      "n\030\003 \001(\t\022\026\n\016lists_revision\030\004 \001(\003\"\022\n\020Versi" +
+      "onStopReply\"\025\n\023ObservationsRequest\"\203\001\n\023V" +
+      "ersionObservations\022\r\n\005model\030\001 \001(\t\022\017\n\007ver" +
+      "sion\030\002 \001(\t\022\017\n\007answers\030\003 \001(\003\022\r\n\005rated\030\004 \001" +
+      "(\003\022\016\n\006passed\030\005 \001(\003\022\016\n\006errors\030\006 \001(\003\022\014\n\004sl" +
+      "ow\030\007 \001(\003\"b\n\021ObservationsReply\022\023\n\013incarna" +
+      "tion\030\001 \001(\t\0228\n\010versions\030\002 \003(\0132&.quetzalfi" +
+      "eld.peer.VersionObservations2\243\007\n\004Peer\022M\n" +
+      "\rExchangeLists\022\035.quetzalfield.peer.Lists" +
+      "Offer\032\035.quetzalfield.peer.ListsReply\022H\n\t" +
+      "PushLists\022\034.quetzalfield.peer.ListsPush\032" +
+      "\035.quetzalfield.peer.ListsReply\022M\n\013Witnes" +
+      "sBill\022\035.quetzalfield.peer.BillRecord\032\037.q" +
+      "uetzalfield.peer.WitnessReply\022O\n\013ForgetB" +
+      "ills\022 .quetzalfield.peer.ForgetRequest\032\036" +
+      ".quetzalfield.peer.ForgetReply\022R\n\014Collec" +
+      "tBills\022!.quetzalfield.peer.CollectReques" +
+      "t\032\037.quetzalfield.peer.CollectReply\022W\n\rLi" +
+      "stWitnessed\022#.quetzalfield.peer.Witnesse" +
+      "dRequest\032!.quetzalfield.peer.WitnessedRe" +
+      "ply\022O\n\007Forward\022!.quetzalfield.peer.Forwa" +
+      "rdRequest\032\037.quetzalfield.peer.ForwardRep" +
+      "ly0\001\022^\n\024ExchangeFingerprints\022\".quetzalfi" +
+      "eld.peer.FingerprintList\032\".quetzalfield." +
+      "peer.FingerprintList\022N\n\014ReportDemand\022\037.q" +
+      "uetzalfield.peer.DemandReport\032\035.quetzalf" +
+      "ield.peer.ShareReply\022R\n\013StopVersion\022\036.qu" +
+      "etzalfield.peer.VersionStop\032#.quetzalfie" +
+      "ld.peer.VersionStopReply\022`\n\020ReadObservat" +
+      "ions\022&.quetzalfield.peer.ObservationsReq" +
+      "uest\032$.quetzalfield.peer.ObservationsRep" +
+      "lyB\035\n\031io.quetzalfield.peer.wireP\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -351,13 +352,13 @@
     internal_static_quetzalfield_peer_DemandReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_DemandReport_descriptor,
-        new java.lang.String[] { "Incarnation", "Demands", "ConfirmedGeneration", });
+        new java.lang.String[] { "Incarnation", "Demands", "ConfirmedGeneration", "FencingNumber", });
     internal_static_quetzalfield_peer_AccountShare_descriptor =
       getDescriptor().getMessageTypes().get(18);
     internal_static_quetzalfield_peer_AccountShare_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_quetzalfield_peer_AccountShare_descriptor,
-        new java.lang.String[] { "ClientAccount", "TokensPerMinute", });
+        new java.lang.String[] { "ClientAccount", "Fraction", });
     internal_static_quetzalfield_peer_ShareReply_descriptor =
       getDescriptor().getMessageTypes().get(19);
     internal_static_quetzalfield_peer_ShareReply_fieldAccessorTable = new
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -8,12 +8,14 @@
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
 import io.quetzalfield.peer.PeerClients
+import io.quetzalfield.peer.PeerServer
 import io.quetzalfield.platform.DutyLease
 import io.quetzalfield.platform.DutyRoster
 import io.quetzalfield.platform.EtcdGatewayKeyValueStore
 import io.quetzalfield.platform.HttpInstanceDirectory
 import io.quetzalfield.platform.InstanceDirectory
 import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.steward.allowances.AllowanceDuty
 import io.quetzalfield.steward.bills.BillDuty
 import io.quetzalfield.steward.bills.BillFolding
 import io.quetzalfield.steward.bills.EndedIncarnations
@@ -40,11 +42,13 @@
     @Volatile
     private var stewards: List<ListedInstance> = emptyList()
     private val roster = DutyRoster(
-        leases = listOf(BILL_DUTY).associateWith(::newLease),
+        leases = listOf(BILL_DUTY, ALLOWANCE_DUTY).associateWith(::newLease),
         rank = ::rankFor,
         patience = settings.leaseTimeToLive,
     )
     private val billDuty = newBillDuty()
+    private val allowanceDuty = AllowanceDuty({ roster.held(ALLOWANCE_DUTY) })
+    private val peerServer = startPeerServer()
     private val server: Javalin = startOperatorServer()
     private val scheduler = newScheduler("steward")
 
@@ -93,6 +97,11 @@
         }
     }
 
+    private fun startPeerServer(): PeerServer {
+        val address = requireNotNull(HostPort.parse(settings.peerAddress)) { "checked with the settings" }
+        return PeerServer(address.host, address.port, StewardPeerService(allowanceDuty))
+    }
+
     private fun announce() {
         directory.announce(
             ListedInstance(
@@ -100,6 +109,7 @@
                 kind = InstanceKind.STEWARD,
                 address = "http://${HostPort.parse(settings.operatorAddress)?.host}:${server.port()}",
                 failureDomain = settings.failureDomain,
+                peerAddress = "${HostPort.parse(settings.peerAddress)?.host}:${peerServer.port}",
                 start = incarnation.start,
             ),
         )
@@ -108,6 +118,7 @@
     override fun close() {
         scheduler.shutdownNow()
         roster.release()
+        peerServer.close()
         peers.close()
         directory.remove(settings.instance)
         server.stop()
@@ -116,6 +127,7 @@
 
     private companion object {
         const val BILL_DUTY = "bills"
+        const val ALLOWANCE_DUTY = "allowances"
         val logger = LogManager.getLogger(StewardProgram::class.java)
     }
 }
--- a/steward/src/main/kotlin/io/quetzalfield/steward/bills/BillDuty.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/bills/BillDuty.kt
@@ -22,7 +22,7 @@
     public fun run(isHeld: () -> Boolean) {
         for (incarnation in ended.find()) {
             if (!isHeld()) return
-            when (val result = folding.fold(incarnation)) {
+            when (folding.fold(incarnation)) {
                 is Either.Left -> outcomes.labelValues("postponed").inc()
 
                 is Either.Right -> {
