--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/SmallFleet.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/SmallFleet.kt
@@ -84,6 +84,8 @@
             peerAddress: 127.0.0.1:0
             operatorAddress: 127.0.0.1:0
             platformAddress: $platform
+            billPeriod: 1s
+            goneAfter: 2s
             """,
         )
         processes.start(instance, STEWARD, "--settings", "$settings")
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -21,6 +21,8 @@
 import io.quetzalfield.steward.bills.EndedIncarnations
 import io.quetzalfield.steward.bills.FoldedCells
 import io.quetzalfield.steward.bills.PeerBillWitnesses
+import io.quetzalfield.steward.orders.HttpRunnerControl
+import io.quetzalfield.steward.orders.OrderDuty
 import io.quetzalfield.support.HostPort
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
@@ -42,12 +44,20 @@
     @Volatile
     private var stewards: List<ListedInstance> = emptyList()
     private val roster = DutyRoster(
-        leases = listOf(BILL_DUTY, ALLOWANCE_DUTY).associateWith(::newLease),
+        leases = listOf(BILL_DUTY, ALLOWANCE_DUTY, ORDER_DUTY).associateWith(::newLease),
         rank = ::rankFor,
         patience = settings.leaseTimeToLive,
     )
     private val billDuty = newBillDuty()
     private val allowanceDuty = AllowanceDuty({ roster.held(ALLOWANCE_DUTY) })
+    private val orderDuty = OrderDuty(
+        held = { roster.held(ORDER_DUTY) },
+        lists = StoredLists(store)::read,
+        directory = directory,
+        runners = HttpRunnerControl(),
+        settlingTime = settings.leaseTimeToLive + settings.longestOrderDelay,
+        registry = registry,
+    )
     private val peerServer = startPeerServer()
     private val server: Javalin = startOperatorServer()
     private val scheduler = newScheduler("steward")
@@ -59,6 +69,7 @@
         }
         scheduler.every(settings.dutyPeriod, roster::renew)
         scheduler.every(settings.billPeriod) { whileHeld(BILL_DUTY, billDuty::run) }
+        scheduler.every(settings.orderPeriod, orderDuty::run)
         logger.info("steward {} has started", incarnation)
     }
 
@@ -128,6 +139,7 @@
     private companion object {
         const val BILL_DUTY = "bills"
         const val ALLOWANCE_DUTY = "allowances"
+        const val ORDER_DUTY = "orders"
         val logger = LogManager.getLogger(StewardProgram::class.java)
     }
 }
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardSettings.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardSettings.kt
@@ -23,6 +23,8 @@
  * @property leaseTimeToLive time after which a duty passes on when its holder falls silent; whole seconds.
  * @property billPeriod time between two looks for incarnations whose bills are to be folded.
  * @property goneAfter time without any sign of an entry after which its bills are folded.
+ * @property orderPeriod time between two looks at what the runners have loaded.
+ * @property longestOrderDelay longest time that an order takes to reach a runner.
  * @property leaseMargin time before the end of the lease at which the holder stops by its own clock.
  */
 @Serializable
@@ -37,6 +39,8 @@
     val dutyPeriod: SettingDuration = 1.seconds,
     val billPeriod: SettingDuration = 5.seconds,
     val goneAfter: SettingDuration = 10.seconds,
+    val orderPeriod: SettingDuration = 2.seconds,
+    val longestOrderDelay: SettingDuration = 5.seconds,
 )
 
 /** Reads and checks the settings in [file]. */
@@ -60,6 +64,8 @@
     positiveFault("dutyPeriod", settings.dutyPeriod),
     positiveFault("billPeriod", settings.billPeriod),
     positiveFault("goneAfter", settings.goneAfter),
+    positiveFault("orderPeriod", settings.orderPeriod),
+    positiveFault("longestOrderDelay", settings.longestOrderDelay),
 )
 
 private fun positiveFault(key: String, value: Duration): SettingsFault? =
--- /dev/null
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StoredLists.kt
@@ -0,0 +1,35 @@
+package io.quetzalfield.steward
+
+import io.quetzalfield.model.ListsSnapshot
+import io.quetzalfield.model.OperatorLists
+import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.platform.LISTS_KEY
+import io.quetzalfield.platform.PlatformJson
+import kotlinx.serialization.SerializationException
+import org.apache.logging.log4j.LogManager
+
+/** The operators' lists as the store has them. A lower revision never replaces a higher one. */
+internal class StoredLists(private val store: KeyValueStore) {
+    private var newest: ListsSnapshot? = null
+
+    /** The newest lists, read anew; the former ones while the store gives none, `null` before the first. */
+    @Synchronized
+    fun read(): ListsSnapshot? {
+        val stored = store.read(LISTS_KEY).getOrNull() ?: return newest
+        val lists = parse(stored.value) ?: return newest
+        val current = newest
+        if (current == null || lists.revision > current.revision) newest = ListsSnapshot(lists)
+        return newest
+    }
+
+    private fun parse(json: String): OperatorLists? = try {
+        PlatformJson.decodeFromString(OperatorLists.serializer(), json)
+    } catch (error: SerializationException) {
+        logger.warn("unreadable lists are ignored: {}", error.message)
+        null
+    }
+
+    private companion object {
+        val logger = LogManager.getLogger(StoredLists::class.java)
+    }
+}
--- /dev/null
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/orders/OrderDuty.kt
@@ -0,0 +1,78 @@
+package io.quetzalfield.steward.orders
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.quetzalfield.decision.PlacementRules
+import io.quetzalfield.decision.placeVersions
+import io.quetzalfield.model.InstanceKind
+import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.model.ListsSnapshot
+import io.quetzalfield.model.ModelVersionReference
+import io.quetzalfield.model.RunnerId
+import io.quetzalfield.platform.HeldDuty
+import io.quetzalfield.platform.InstanceDirectory
+import io.quetzalfield.platform.engine.EngineOrder
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+
+/**
+ * The duty of keeping the right versions loaded. An order states all versions that a runner should have; what a runner
+ * reports is compared again and again, and it is ordered anew until it holds.
+ *
+ * Runners may ignore the fencing number. So a new holder gives no order until [settlingTime] is over, in which the
+ * former holder's lease ends and its last orders arrive.
+ *
+ * @param settlingTime the time to live of the duty's lease plus the longest delay of an order.
+ * @param lists the lists in force; `null` while they are not known.
+ */
+public class OrderDuty(
+    private val held: () -> HeldDuty?,
+    private val lists: () -> ListsSnapshot?,
+    private val directory: InstanceDirectory,
+    private val runners: RunnerControl,
+    private val settlingTime: Duration,
+    private val rules: PlacementRules = PlacementRules(),
+    private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    registry: PrometheusRegistry = PrometheusRegistry(),
+) {
+    private class Term(val fencingNumber: Long, val ordersFrom: ComparableTimeMark)
+
+    private val orders = Counter.builder()
+        .name("quetzalfield_runner_orders_total")
+        .help("Orders to runners, by outcome")
+        .labelNames("outcome")
+        .register(registry)
+    private var term: Term? = null
+
+    /** Orders what is not as wanted. */
+    public fun run() {
+        val duty = held() ?: return
+        if (!hasSettled(duty)) return
+        val snapshot = lists() ?: return
+        val listed = directory.instances().getOrNull().orEmpty()
+            .filter { it.kind == InstanceKind.RUNNER && !it.isLeaving }
+            .associateBy { RunnerId(it.id.value) }
+        val loaded = listed.mapValues { (_, runner) -> loadedVersions(runner) }
+        val wanted = placeVersions(snapshot, loaded, rules)
+        for ((id, versions) in wanted) {
+            if (versions != loaded.getValue(id).toSet()) order(listed.getValue(id), versions, duty.fencingNumber)
+        }
+    }
+
+    private fun hasSettled(duty: HeldDuty): Boolean {
+        val current = term?.takeIf { it.fencingNumber == duty.fencingNumber }
+            ?: Term(duty.fencingNumber, timeSource.markNow() + settlingTime).also { term = it }
+        return current.ordersFrom.hasPassedNow()
+    }
+
+    /** What [runner] reports, or else what the platform's list says of it. */
+    private fun loadedVersions(runner: ListedInstance): List<ModelVersionReference> =
+        runners.load(runner).fold({ runner.versions }, { it.versions })
+
+    private fun order(runner: ListedInstance, versions: Set<ModelVersionReference>, fencingNumber: Long) {
+        if (held()?.fencingNumber != fencingNumber) return
+        val result = runners.order(runner, EngineOrder(fencingNumber, versions.sorted()))
+        orders.labelValues(if (result.isRight()) "taken" else "failed").inc()
+    }
+}
