--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
@@ -23,12 +23,11 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** The part of each account's allowance that an entry has when the live entries share it evenly. */
-internal class EvenAllowanceShare(private val lists: ListsHolder, private val fleet: FleetView) : AllowanceShare {
-    override fun tokensPerMinute(account: ClientAccountId): Double {
-        val allowance = lists.snapshot.account(account)?.tokensPerMinute ?: 0
-        return allowance.toDouble() / fleet.entries.size.coerceAtLeast(1)
-    }
+/** The allowances of the lists in force, as far as the [shares] of this entry go. */
+internal class ListedAllowanceShare(private val lists: ListsHolder, private val shares: AllowanceShares) :
+    AllowanceShare {
+    override fun tokensPerMinute(account: ClientAccountId): Double =
+        lists.snapshot.account(account)?.let(shares::tokensPerMinute) ?: 0.0
 }
 
 /** The parts of an entry that guard what runs: admission, retries, crash suspects and roll-outs. */
@@ -41,7 +40,8 @@
     private val metrics: EntryMetrics,
     ratingService: RatingService,
     private val routing: LearningRouting,
-    allowance: AllowanceShare = EvenAllowanceShare(lists, fleet),
+    allowance: AllowanceShare,
+    onDemand: (ClientAccountId, Long) -> Unit = { _, _ -> },
 ) : AutoCloseable {
     private val scheduler = newScheduler("control")
     private val quarantine = CrashQuarantine(incarnation.instance)
@@ -55,7 +55,7 @@
         onOwnRating = { observations.noteRating(it.source, it.passed) },
         onRating = routing.qualities::recordRating,
     )
-    val admission = RequestAdmission(AdmissionControl(allowance), loads, answerTimes)
+    val admission = RequestAdmission(AdmissionControl(allowance), loads, answerTimes, onDemand)
     val rollouts = RolloutMonitor(lists, observations, PeerObservations(incarnation, fleet, peers), metrics)
     val answers = AnswerObserver(answerTimes, observations, ratings, routing)
 
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -53,6 +53,8 @@
     private val peers = PeerClients()
     private val scheduler = newScheduler("entry")
     private val billedKeys = BilledKeys()
+    private val allowanceShares = GrantedAllowanceShares(entryCount = { fleet.entries.size })
+    private val demandReporter = DemandReporter(incarnation, fleet, peers, allowanceShares)
     private val ledger = BillLedger(
         process = incarnation,
         store = store,
@@ -70,7 +72,18 @@
         store = store,
     )
     private val routing = LearningRouting(CascadeSettings(settings.decisionPreset.weights), Random.Default)
-    private val control = EntryControl(incarnation, lists, fleet, loads, peers, metrics, ratingService, routing)
+    private val control = EntryControl(
+        incarnation = incarnation,
+        lists = lists,
+        fleet = fleet,
+        loads = loads,
+        peers = peers,
+        metrics = metrics,
+        ratingService = ratingService,
+        routing = routing,
+        allowance = ListedAllowanceShare(lists, allowanceShares),
+        onDemand = allowanceShares::noteDemand,
+    )
     private val decisionLists = CurrentLists(lists, distribution::isCurrent)
     private val completions = CompletionService(
         routeChooser = routing.chooser,
@@ -142,6 +155,7 @@
         scheduler.every(settings.loadRefresh, loads::refresh)
         scheduler.every(settings.billFlush, ledger::flush)
         control.start()
+        scheduler.every(settings.demandReport, demandReporter::report)
         logger.info("entry {} serves callers at {} and peers at {}", incarnation, callerAddress, peerAddress)
     }
 
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RequestAdmission.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RequestAdmission.kt
@@ -6,6 +6,7 @@
 import io.quetzalfield.decision.Admitted
 import io.quetzalfield.decision.RequestedModel
 import io.quetzalfield.decision.RunnerView
+import io.quetzalfield.model.ClientAccountId
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.NotRun
 import io.quetzalfield.model.VersionState
@@ -17,6 +18,7 @@
     private val control: AdmissionControl,
     private val loads: RunnerLoadTracker,
     private val answerTimes: AnswerTimes,
+    private val onDemand: (ClientAccountId, Long) -> Unit = { _, _ -> },
 ) {
     private class Pool(val pressure: Double, val expectedDuration: Duration)
 
@@ -25,6 +27,7 @@
 
     /** Admits [call], or says at once why not. */
     fun admit(call: CompletionCall): Either<NotRun, Admitted> {
+        onDemand(call.account.id, call.route.expectedTokens.toLong())
         val views = loads.views()
         val pools = versionsFor(call).mapNotNull { pool(it, views, call.route.expectedTokens) }
         val request = AdmissionRequest(
--- a/entry/src/test/kotlin/io/quetzalfield/entry/PeerServiceFixtures.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/PeerServiceFixtures.kt
@@ -24,6 +24,7 @@
     metrics = EntryMetrics(),
     ratingService = InMemoryRatingService(),
     routing = learningRouting(),
+    allowance = { 1_000_000.0 },
 )
 
 /** Routing that learns, with a fixed seed. */
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -8,17 +8,21 @@
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
 import io.quetzalfield.peer.PeerClients
+import io.quetzalfield.peer.PeerServer
 import io.quetzalfield.platform.DutyLease
 import io.quetzalfield.platform.DutyRoster
 import io.quetzalfield.platform.EtcdGatewayKeyValueStore
 import io.quetzalfield.platform.HttpInstanceDirectory
 import io.quetzalfield.platform.InstanceDirectory
 import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.steward.allowances.AllowanceDuty
 import io.quetzalfield.steward.bills.BillDuty
 import io.quetzalfield.steward.bills.BillFolding
 import io.quetzalfield.steward.bills.EndedIncarnations
 import io.quetzalfield.steward.bills.FoldedCells
 import io.quetzalfield.steward.bills.PeerBillWitnesses
+import io.quetzalfield.steward.orders.HttpRunnerControl
+import io.quetzalfield.steward.orders.OrderDuty
 import io.quetzalfield.steward.rollouts.PeerRolloutEntries
 import io.quetzalfield.steward.rollouts.RolloutDuty
 import io.quetzalfield.support.HostPort
@@ -47,11 +51,21 @@
 
     @Volatile
     private var stewards: List<ListedInstance> = emptyList()
-    private val leases = listOf(BILL_DUTY, ROLLOUT_DUTY).associateWith(::newLease)
+    private val leases = listOf(BILL_DUTY, ROLLOUT_DUTY, ALLOWANCE_DUTY, ORDER_DUTY).associateWith(::newLease)
     private val roster = DutyRoster(leases, rank = ::rankFor, patience = settings.leaseTimeToLive)
     private val billDuty = newBillDuty()
     private val rollouts = RolloutDuty(store, PeerRolloutEntries(directory, peers), leases.getValue(ROLLOUT_DUTY))
+    private val allowanceDuty = AllowanceDuty({ roster.held(ALLOWANCE_DUTY) })
+    private val orderDuty = OrderDuty(
+        held = { roster.held(ORDER_DUTY) },
+        lists = StoredLists(store)::read,
+        directory = directory,
+        runners = HttpRunnerControl(),
+        settlingTime = settings.leaseTimeToLive + settings.longestOrderDelay,
+        registry = registry,
+    )
     private val sections: List<StatusSection> = listOf(dutiesSection(leases.values))
+    private val peerServer = startPeerServer()
     private val server: Javalin = startOperatorServer()
     private val scheduler = newScheduler("steward")
 
@@ -64,6 +78,7 @@
         scheduler.every(settings.dutyPeriod, roster::renew)
         scheduler.every(settings.billPeriod) { whileHeld(BILL_DUTY, billDuty::run) }
         scheduler.every(settings.dutyPeriod, rollouts::run)
+        scheduler.every(settings.orderPeriod, orderDuty::run)
         logger.info("steward {} has started", incarnation)
     }
 
@@ -103,6 +118,11 @@
         }
     }
 
+    private fun startPeerServer(): PeerServer {
+        val address = requireNotNull(HostPort.parse(settings.peerAddress)) { "checked with the settings" }
+        return PeerServer(address.host, address.port, StewardPeerService(allowanceDuty))
+    }
+
     private fun announce() {
         val operatorAddress = "http://${HostPort.parse(settings.operatorAddress)?.host}:${server.port()}"
         directory.announce(
@@ -111,6 +131,7 @@
                 kind = InstanceKind.STEWARD,
                 address = operatorAddress,
                 failureDomain = settings.failureDomain,
+                peerAddress = "${HostPort.parse(settings.peerAddress)?.host}:${peerServer.port}",
                 start = incarnation.start,
                 operatorAddress = operatorAddress,
             ),
@@ -120,6 +141,7 @@
     override fun close() {
         scheduler.shutdownNow()
         roster.release()
+        peerServer.close()
         peers.close()
         directory.remove(settings.instance)
         server.stop()
@@ -129,6 +151,8 @@
     private companion object {
         const val BILL_DUTY = "bills"
         const val ROLLOUT_DUTY = "rollouts"
+        const val ALLOWANCE_DUTY = "allowances"
+        const val ORDER_DUTY = "orders"
         val logger = LogManager.getLogger(StewardProgram::class.java)
     }
 }
