--- a/decision/src/main/kotlin/io/quetzalfield/decision/CheapestSufficientRouteChooser.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CheapestSufficientRouteChooser.kt
@@ -7,8 +7,6 @@
 import io.quetzalfield.model.ModelVersion
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.NotRun
-import io.quetzalfield.model.RefusalReason
-import io.quetzalfield.model.VersionState
 
 /** Pass rate estimates of versions, by kind of request. */
 public fun interface QualityEstimates {
@@ -33,31 +31,17 @@
         snapshot: ListsSnapshot,
         excluded: Set<ModelVersionReference>,
     ): Either<NotRun, Route> {
-        val allowed = snapshot.allowedVersions(request.plan.id).filter { matches(it, request.requested) }
-        val candidates = allowed
-            .filterNot(excluded::contains)
-            .mapNotNull { reference -> candidate(reference, request, snapshot) }
-        if (candidates.isEmpty()) return noCandidate(request).left()
+        val candidates = eligibleVersions(request, snapshot, excluded).map { candidate(it, request) }
+        if (candidates.isEmpty()) return noEligibleVersion(request).left()
         val sufficient = candidates.filter { it.quality >= request.plan.qualityTarget }
         val chosen = sufficient.minByOrNull { it.version.costPerThousandTokens } ?: candidates.maxBy { it.quality }
         val considered = candidates.map { it.considered(chosen, request.plan.qualityTarget) }
         return Route(listOf(chosen.reference), considered).right()
     }
 
-    private fun matches(reference: ModelVersionReference, requested: RequestedModel): Boolean = when (requested) {
-        RequestedModel.Automatic -> true
-        is RequestedModel.AnyVersion -> reference.model == requested.model
-        is RequestedModel.Exactly -> reference == requested.version
-    }
-
-    private fun candidate(
-        reference: ModelVersionReference,
-        request: RouteRequest,
-        snapshot: ListsSnapshot,
-    ): Candidate? {
-        val version = snapshot.version(reference) ?: return null
-        if (version.state != VersionState.SERVING) return null
-        return Candidate(reference, version, estimates.estimate(reference, request.kind, version.priorQuality))
+    private fun candidate(eligible: EligibleVersion, request: RouteRequest): Candidate {
+        val quality = estimates.estimate(eligible.reference, request.kind, eligible.version.priorQuality)
+        return Candidate(eligible.reference, eligible.version, quality)
     }
 
     private fun Candidate.considered(chosen: Candidate, target: Double): ConsideredVersion {
@@ -68,9 +52,4 @@
         }
         return ConsideredVersion(reference, quality, version.costPerThousandTokens, reason)
     }
-
-    private fun noCandidate(request: RouteRequest): NotRun = NotRun(
-        refusal = RefusalReason.NOT_ALLOWED_BY_PLAN,
-        message = "plan ${request.plan.id} allows no serving version that matches the request",
-    )
 }
--- /dev/null
+++ b/decision/src/test/kotlin/io/quetzalfield/decision/LearnedQualityEstimatesTest.kt
@@ -0,0 +1,87 @@
+package io.quetzalfield.decision
+
+import io.quetzalfield.model.ModelVersionReference
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+private val VERSION = checkNotNull(ModelVersionReference.parse("small@1"))
+private const val KIND = "question"
+
+class LearnedQualityEstimatesTest {
+    private val estimates = LearnedQualityEstimates()
+    private val random = Random(3)
+
+    private fun rate(count: Int, passRate: Double, hasScore: Boolean = true) = repeat(count) {
+        val score = random.nextDouble()
+        if (hasScore) estimates.recordScore(VERSION, KIND, score)
+        val passed = random.nextDouble() < passRate
+        estimates.recordRating(RatedAnswer(VERSION, KIND, passed, score.takeIf { hasScore }))
+    }
+
+    @Nested
+    inner class Learning {
+        @Test
+        fun `the prior holds until ratings come`() {
+            assertEquals(0.8, estimates.estimate(VERSION, KIND, prior = 0.8), absoluteTolerance = 1e-9)
+        }
+
+        @ParameterizedTest
+        @CsvSource("0.95, true", "0.6, true", "0.95, false", "0.6, false")
+        fun `the estimate nears the pass rate`(passRate: Double, hasScore: Boolean) {
+            rate(count = 4_000, passRate = passRate, hasScore = hasScore)
+            assertEquals(passRate, estimates.estimate(VERSION, KIND, prior = 0.8), absoluteTolerance = 0.02)
+        }
+
+        @Test
+        fun `the lower bound nears the estimate as ratings come`() {
+            fun gap() = estimates.estimate(VERSION, KIND, 0.8) - estimates.lowerBound(VERSION, KIND, 0.8, 0.9)
+            val before = gap()
+            rate(count = 1_000, passRate = 0.8)
+            assertTrue(gap() < before / 4)
+        }
+
+        @Test
+        fun `threads lose no rating`() {
+            val pool = Executors.newFixedThreadPool(8)
+            val tasks = List(8) {
+                Callable { repeat(2_000) { estimates.recordRating(RatedAnswer(VERSION, KIND, passed = true)) } }
+            }
+            pool.invokeAll(tasks).forEach { it.get() }
+            pool.shutdown()
+            assertTrue(estimates.estimate(VERSION, KIND, prior = 0.1) > 0.99)
+        }
+    }
+
+    @Nested
+    inner class Drift {
+        @Test
+        fun `a halved pass rate shows within 100 ratings`() {
+            rate(count = 5_000, passRate = 0.94)
+            rate(count = 100, passRate = 0.47)
+            assertTrue(estimates.estimate(VERSION, KIND, prior = 0.9) < 0.75)
+        }
+
+        @Test
+        fun `a steady pass rate raises no alarm`() {
+            repeat(10) {
+                rate(count = 2_000, passRate = 0.9)
+                assertEquals(0.9, estimates.estimate(VERSION, KIND, prior = 0.9), absoluteTolerance = 0.025)
+            }
+        }
+    }
+}
+
+class NormalQuantileTest {
+    @ParameterizedTest
+    @CsvSource("0.5, 0.0", "0.9, 1.2816", "0.99, 2.3263", "0.01, -2.3263")
+    fun `quantiles agree with the tables`(probability: Double, expected: Double) {
+        assertEquals(expected, normalQuantile(probability), absoluteTolerance = 0.001)
+    }
+}
