--- a/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
@@ -55,21 +55,31 @@
     ): Either<NotRun, Route> {
         val eligible = eligibleVersions(request, snapshot, excluded)
         if (eligible.isEmpty()) return noEligibleVersion(request).left()
-        val rollout = RolloutSubstitution.draw(eligible, random)
-        val stages = rollout.chosenFrom.map { stage(it, request) }
+        val stages = eligible.map { stage(it, request, snapshot) }
         val best = BestOptions(request, dearest = stages.maxOf { it.cost(request.expectedTokens) })
         RouteOptions(request, stages, estimates, settings.gateTokens).forEach(best::weigh)
         val chosen = if (isExploration(request)) best.explored() else best.chosen()
         val considered = stages.map { considered(it, chosen, best, request.plan.qualityTarget) }
-        return Route(rollout.apply(chosen.stages), considered, chosen.gate).right()
+        return Route(chosen.stages, considered, chosen.gate).right()
     }
 
     private fun isExploration(request: RouteRequest): Boolean =
         request.maximumStages > 1 && random.nextDouble() < settings.explorationShare
 
-    private fun stage(eligible: EligibleVersion, request: RouteRequest): Stage {
-        val profile = estimates.profile(eligible.reference, request.kind, eligible.version.priorQuality)
-        return Stage(eligible, profile, latencies.estimate(eligible.reference))
+    private fun stage(eligible: EligibleVersion, request: RouteRequest, snapshot: ListsSnapshot): Stage {
+        val source = evidenceSource(eligible, snapshot)
+        val profile = estimates.profile(source, request.kind, eligible.version.priorQuality)
+        return Stage(eligible, source, profile, latencies.estimate(source))
+    }
+
+    /**
+     * A version that is being rolled out has little evidence of its own, and would get no traffic at the stated
+     * confidence. It is weighed by the evidence on the version before it; the test of the roll-out guards the quality.
+     */
+    private fun evidenceSource(eligible: EligibleVersion, snapshot: ListsSnapshot): ModelVersionReference {
+        if (eligible.version.newSessionShare == null) return eligible.reference
+        val rollout = rolloutsOf(snapshot).firstOrNull { it.version == eligible.reference }
+        return rollout?.baseline ?: eligible.reference
     }
 
     private fun considered(stage: Stage, chosen: RouteOption, best: BestOptions, target: Double): ConsideredVersion {
--- /dev/null
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/LearningRouting.kt
@@ -0,0 +1,21 @@
+package io.quetzalfield.decision
+
+import kotlin.random.Random
+
+/**
+ * The cascade choice with the estimates that it learns from, as an entry and replay use it.
+ *
+ * @property chooser chooses the routes.
+ * @property qualities takes acceptance scores and ratings.
+ * @property latencies takes observed latencies.
+ */
+public class LearningRouting(
+    settings: CascadeSettings,
+    random: Random,
+    learning: LearningSettings = LearningSettings(),
+) {
+    public val qualities: LearnedQualityEstimates = LearnedQualityEstimates(learning)
+    public val latencies: LearnedLatencyEstimates = LearnedLatencyEstimates()
+    public val chooser: RouteChooser =
+        RolloutRouteChooser(CascadeRouteChooser(settings, qualities, latencies, random), random)
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/RolloutRouteChooser.kt
@@ -0,0 +1,56 @@
+package io.quetzalfield.decision
+
+import arrow.core.Either
+import io.quetzalfield.model.ListsSnapshot
+import io.quetzalfield.model.Model
+import io.quetzalfield.model.ModelVersion
+import io.quetzalfield.model.ModelVersionReference
+import io.quetzalfield.model.NotRun
+import io.quetzalfield.model.VersionState
+import kotlin.random.Random
+
+/** A version that is rolled out, with the version before. */
+public data class Rollout(val version: ModelVersionReference, val baseline: ModelVersionReference, val share: Double)
+
+/** The roll-outs that the lists of [snapshot] ask for. A model without a serving version before has none. */
+public fun rolloutsOf(snapshot: ListsSnapshot): List<Rollout> = snapshot.lists.models.models.flatMap(::rolloutsOf)
+
+private fun rolloutsOf(model: Model): List<Rollout> {
+    val serving = model.versions.filter { it.state == VersionState.SERVING }
+    val baseline = serving.lastOrNull { it.newSessionShare == null } ?: return emptyList()
+    return serving.mapNotNull { version ->
+        version.newSessionShare?.let { Rollout(model.reference(version), model.reference(baseline), it) }
+    }
+}
+
+private fun Model.reference(version: ModelVersion) = ModelVersionReference(id, version.id)
+
+/**
+ * Gives versions that are rolled out their share of new sessions: for each new session or request outside sessions,
+ * either the rolled-out version or the version before is withheld from [delegate], by chance in proportion to the
+ * share. A version that the caller names is never withheld, and neither is one whose plan allows no version before it,
+ * unless it was rolled back to a share of 0.
+ */
+public class RolloutRouteChooser(private val delegate: RouteChooser, private val random: Random = Random.Default) :
+    RouteChooser {
+    override fun choose(
+        request: RouteRequest,
+        snapshot: ListsSnapshot,
+        excluded: Set<ModelVersionReference>,
+    ): Either<NotRun, Route> {
+        if (request.requested is RequestedModel.Exactly) return delegate.choose(request, snapshot, excluded)
+        val allowed = snapshot.allowedVersions(request.plan.id).filterNot(excluded::contains)
+        val withheld = rolloutsOf(snapshot).mapNotNull { withheld(it, allowed) }
+        return delegate.choose(request, snapshot, excluded + withheld)
+    }
+
+    private fun withheld(rollout: Rollout, allowed: List<ModelVersionReference>): ModelVersionReference? = when {
+        rollout.version !in allowed -> null
+        rollout.share <= 0.0 -> rollout.version
+        rollout.baseline !in allowed -> null
+        isGiven(rollout.share) -> rollout.baseline
+        else -> rollout.version
+    }
+
+    private fun isGiven(share: Double): Boolean = synchronized(random) { random.nextDouble() < share }
+}
--- a/decision/src/main/kotlin/io/quetzalfield/decision/RouteOption.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/RouteOption.kt
@@ -27,8 +27,17 @@
     val stages: List<ModelVersionReference> get() = listOfNotNull(first.reference, second?.reference)
 }
 
-/** A version as a stage of a route. */
-internal class Stage(eligible: EligibleVersion, val profile: ScoreProfile, val latency: VersionLatency) {
+/**
+ * A version as a stage of a route.
+ *
+ * @property evidenceSource the version whose answers [profile] and [latency] were learnt from.
+ */
+internal class Stage(
+    eligible: EligibleVersion,
+    val evidenceSource: ModelVersionReference,
+    val profile: ScoreProfile,
+    val latency: VersionLatency,
+) {
     val reference: ModelVersionReference = eligible.reference
     val prior: Double = eligible.version.priorQuality
     val costPerThousandTokens: Double = eligible.version.costPerThousandTokens
@@ -69,6 +78,9 @@
         }
     }
 
+    fun escalatedProfile(first: Stage, second: Stage): ScoreProfile =
+        estimates.escalatedProfile(first.evidenceSource, second.evidenceSource, request.kind, second.prior)
+
     fun single(stage: Stage): RouteOption = RouteOption(
         first = stage,
         second = null,
--- a/decision/src/test/kotlin/io/quetzalfield/decision/CascadeRouteChooserTest.kt
+++ b/decision/src/test/kotlin/io/quetzalfield/decision/CascadeRouteChooserTest.kt
@@ -134,7 +134,7 @@
         fun `a version that is rolled out takes its share of its predecessor's routes`() {
             estimates.learn(informative = false, passRate = 0.97)
             val lists = snapshot(listOf(version("1", 1.0, 0.8), version("2", 1.0, 0.8, share = 0.25)))
-            val chooser = chooser()
+            val chooser = RolloutRouteChooser(chooser(), Random(5))
             val first = List(2_000) { chooser.choose(request(), lists, emptySet()).getOrNull()?.stages?.first() }
             assertTrue(first.all { it == SMALL || it == NEW_SMALL })
             assertTrue(first.count { it == NEW_SMALL } in 430..570)
--- a/operator/src/main/kotlin/io/quetzalfield/operator/Main.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/Main.kt
@@ -51,5 +51,5 @@
 
 /** Starts `quetzalfield`. */
 public fun main(arguments: Array<String>) {
-    QuetzalfieldCommand().subcommands(CheckCommand(), ApplyCommand()).main(arguments)
+    QuetzalfieldCommand().subcommands(CheckCommand(), ApplyCommand(), replayCommand()).main(arguments)
 }
--- /dev/null
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/Measures.kt
@@ -0,0 +1,165 @@
+package io.quetzalfield.replay
+
+import io.quetzalfield.model.InterruptionReason
+import io.quetzalfield.model.Plan
+import io.quetzalfield.model.PlanId
+import io.quetzalfield.model.RefusalReason
+import kotlinx.serialization.Serializable
+import org.HdrHistogram.Histogram
+import java.util.EnumMap
+import kotlin.time.Duration
+
+/** How long answers took, in milliseconds. */
+@Serializable
+public data class LatencySummary(val p50: Long, val p95: Long, val p99: Long)
+
+/**
+ * What one replay of a trace by one policy gave.
+ *
+ * @property costPerAcceptedAnswer cost of all stages divided by the answers that pass.
+ * @property warmCostPerAcceptedAnswer the same without the first fifth of the trace.
+ * @property passShare share of answers that pass.
+ * @property windowsAtTarget share of the windows of 1,000 answers in a row of one plan that meet its quality target.
+ * @property warmWindowsAtTarget the same without the first fifth of the trace.
+ * @property badVersionAnswers answers by a version while it was bad.
+ * @property lateAnswers answers after their plan's deadline.
+ * @property goodput answers that pass in time, per second.
+ */
+@Serializable
+public data class ReplayMeasures(
+    val policy: String,
+    val requests: Int,
+    val answers: Int,
+    val costPerAcceptedAnswer: Double,
+    val warmCostPerAcceptedAnswer: Double,
+    val passShare: Double,
+    val windowsAtTarget: Double,
+    val warmWindowsAtTarget: Double,
+    val firstToken: LatencySummary,
+    val total: LatencySummary,
+    val badVersionAnswers: Int,
+    val escalatedShare: Double,
+    val lateAnswers: Int,
+    val goodput: Double,
+    val refusals: Map<RefusalReason, Int>,
+    val interruptions: Map<InterruptionReason, Int>,
+)
+
+/** An answer that went to the caller. */
+internal class MeasuredAnswer(
+    val plan: Plan,
+    val arrival: Duration,
+    val passes: Boolean,
+    val isByBadVersion: Boolean,
+    val isEscalated: Boolean,
+    val untilFirstToken: Duration,
+    val untilEnd: Duration,
+)
+
+/** Collects the measures of one replay. */
+internal class MeasureCollector(private val policy: String, trace: Trace) {
+    private val duration = trace.events.lastOrNull()?.timeMilliseconds ?: 0
+    private val warmFromMilliseconds = (duration * WARM_UP_SHARE).toLong()
+    private val firstTokens = Histogram(HISTOGRAM_DIGITS)
+    private val totals = Histogram(HISTOGRAM_DIGITS)
+    private val all = Tally()
+    private val warm = Tally()
+    private val refusals = EnumMap<RefusalReason, Int>(RefusalReason::class.java)
+    private val interruptions = EnumMap<InterruptionReason, Int>(InterruptionReason::class.java)
+    private var requests = 0
+    private var badVersionAnswers = 0
+    private var escalated = 0
+    private var late = 0
+    private var good = 0
+
+    private class Tally {
+        var cost = 0.0
+        var answers = 0
+        var passes = 0
+        val passesByPlan = HashMap<PlanId, MutableList<Boolean>>()
+        val targets = HashMap<PlanId, Double>()
+
+        fun add(answer: MeasuredAnswer) {
+            answers++
+            if (answer.passes) passes++
+            targets[answer.plan.id] = answer.plan.qualityTarget
+            passesByPlan.getOrPut(answer.plan.id, ::mutableListOf) += answer.passes
+        }
+
+        fun costPerPass(): Double = if (passes == 0) 0.0 else cost / passes
+
+        /** Share of the sliding windows, a hundred answers apart, that meet their plan's target. */
+        fun windowsAtTarget(): Double {
+            val windows = passesByPlan.flatMap { (plan, passes) ->
+                passes.windowed(WINDOW_ANSWERS, WINDOW_STEP) { window ->
+                    window.count { it } >= targets.getValue(plan) * WINDOW_ANSWERS
+                }
+            }
+            return if (windows.isEmpty()) 0.0 else windows.count { it }.toDouble() / windows.size
+        }
+    }
+
+    fun onRequest() {
+        requests++
+    }
+
+    fun onCost(arrival: Duration, cost: Double) {
+        all.cost += cost
+        if (isWarm(arrival)) warm.cost += cost
+    }
+
+    fun onAnswer(answer: MeasuredAnswer) {
+        all.add(answer)
+        if (isWarm(answer.arrival)) warm.add(answer)
+        firstTokens.recordValue(answer.untilFirstToken.inWholeMilliseconds)
+        totals.recordValue(answer.untilEnd.inWholeMilliseconds)
+        val isLate = answer.untilEnd.inWholeMilliseconds > answer.plan.deadlineMilliseconds
+        if (isLate) late++
+        if (answer.passes && !isLate) good++
+        if (answer.isByBadVersion) badVersionAnswers++
+        if (answer.isEscalated) escalated++
+    }
+
+    fun onRefusal(reason: RefusalReason) {
+        refusals.merge(reason, 1, Int::plus)
+    }
+
+    fun onInterruption(reason: InterruptionReason) {
+        interruptions.merge(reason, 1, Int::plus)
+    }
+
+    fun result(): ReplayMeasures = ReplayMeasures(
+        policy = policy,
+        requests = requests,
+        answers = all.answers,
+        costPerAcceptedAnswer = all.costPerPass(),
+        warmCostPerAcceptedAnswer = warm.costPerPass(),
+        passShare = all.passes.toDouble() / maxOf(all.answers, 1),
+        windowsAtTarget = all.windowsAtTarget(),
+        warmWindowsAtTarget = warm.windowsAtTarget(),
+        firstToken = summary(firstTokens),
+        total = summary(totals),
+        badVersionAnswers = badVersionAnswers,
+        escalatedShare = escalated.toDouble() / maxOf(all.answers, 1),
+        lateAnswers = late,
+        goodput = good * MILLISECONDS_PER_SECOND / maxOf(duration, 1),
+        refusals = refusals.toMap(),
+        interruptions = interruptions.toMap(),
+    )
+
+    private fun isWarm(arrival: Duration): Boolean = arrival.inWholeMilliseconds >= warmFromMilliseconds
+
+    private fun summary(histogram: Histogram): LatencySummary = LatencySummary(
+        p50 = histogram.getValueAtPercentile(50.0),
+        p95 = histogram.getValueAtPercentile(95.0),
+        p99 = histogram.getValueAtPercentile(99.0),
+    )
+
+    private companion object {
+        const val WARM_UP_SHARE = 0.2
+        const val HISTOGRAM_DIGITS = 3
+        const val WINDOW_ANSWERS = 1_000
+        const val WINDOW_STEP = 100
+        const val MILLISECONDS_PER_SECOND = 1_000.0
+    }
+}
--- /dev/null
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/NamedPolicy.kt
@@ -0,0 +1,89 @@
+package io.quetzalfield.replay
+
+import io.quetzalfield.decision.AcceptanceGate
+import io.quetzalfield.decision.CascadeRouteChooser
+import io.quetzalfield.decision.CascadeSettings
+import io.quetzalfield.decision.CheapestSufficientRouteChooser
+import io.quetzalfield.decision.FixedCascadeRouteChooser
+import io.quetzalfield.decision.LearnedLatencyEstimates
+import io.quetzalfield.decision.LearningRouting
+import io.quetzalfield.decision.RatedAnswer
+import io.quetzalfield.decision.RolloutRouteChooser
+import io.quetzalfield.decision.RouteChooser
+import io.quetzalfield.decision.SingleVersionRouteChooser
+import io.quetzalfield.decision.VersionLatency
+import io.quetzalfield.model.ModelVersionReference
+
+/**
+ * The policies that can be replayed.
+ *
+ * @property label the name on the command line and in reports.
+ */
+public enum class NamedPolicy(public val label: String, internal val create: (PolicyContext) -> ReplayPolicy) {
+    /** The policy of the entries. */
+    CASCADE("cascade", ::cascade),
+
+    /** Always the best version. */
+    ALWAYS_BEST("always-best", { baseline(it, SingleVersionRouteChooser.Best) }),
+
+    /** Always the cheapest version. */
+    ALWAYS_CHEAPEST("always-cheapest", { baseline(it, SingleVersionRouteChooser.Cheapest) }),
+
+    /** The cheapest version, then the best where the score is below one half. */
+    FIXED_CASCADE("fixed-cascade", { baseline(it, FixedCascadeRouteChooser(AcceptanceGate(0.5, tokens = 24))) }),
+
+    /** One version per plan, by the priors of the lists. */
+    DIRECT_PER_PLAN("direct-per-plan", { baseline(it, CheapestSufficientRouteChooser()) }),
+
+    /** The choice of the entries with the true pass rates, which meets the target in as many windows. */
+    ORACLE("oracle", { oracle(it, windowConfidence = 0.99) }),
+
+    /** The choice of the entries with the true pass rates, which meets the target only on average. */
+    ORACLE_ON_AVERAGE("oracle-on-average", { oracle(it, windowConfidence = 0.5) }),
+    ;
+
+    public companion object {
+        /** The policy with the [label]; `null` when there is none. */
+        public fun of(label: String): NamedPolicy? = entries.firstOrNull { it.label == label }
+    }
+}
+
+private fun settings(context: PolicyContext) = CascadeSettings(context.trace.header.deployment.weights)
+
+private fun baseline(context: PolicyContext, chooser: RouteChooser): ReplayPolicy =
+    ReplayPolicy(routes = RolloutRouteChooser(chooser, context.random))
+
+private fun cascade(context: PolicyContext): ReplayPolicy {
+    val routing = LearningRouting(settings(context), context.random)
+    return ReplayPolicy(routes = routing.chooser, feedback = LearningFeedback(routing))
+}
+
+private class LearningFeedback(private val routing: LearningRouting) : PolicyFeedback {
+    override fun onScore(version: ModelVersionReference, kind: String, score: Double) {
+        routing.qualities.recordScore(version, kind, score)
+    }
+
+    override fun onLatency(version: ModelVersionReference, latency: VersionLatency) {
+        routing.latencies.record(version, latency)
+    }
+
+    override fun onRating(answer: ReplayedAnswer, passed: Boolean) {
+        val rated = RatedAnswer(answer.version, answer.kind, passed, answer.score, answer.escalation)
+        routing.qualities.recordRating(rated)
+    }
+}
+
+private fun oracle(context: PolicyContext, windowConfidence: Double): ReplayPolicy {
+    val estimates = OracleEstimates(context.trace, context.now)
+    val latencies = LearnedLatencyEstimates()
+    val settings = settings(context).copy(windowConfidence = windowConfidence, explorationShare = 0.0)
+    val chooser = CascadeRouteChooser(settings, estimates, latencies, context.random)
+    val feedback = object : PolicyFeedback {
+        override fun onLatency(version: ModelVersionReference, latency: VersionLatency) {
+            latencies.record(version, latency)
+        }
+
+        override fun stoppedVersions(): Set<ModelVersionReference> = estimates.badVersions()
+    }
+    return ReplayPolicy(routes = RolloutRouteChooser(chooser, context.random), feedback = feedback)
+}
--- /dev/null
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/Replay.kt
@@ -0,0 +1,90 @@
+package io.quetzalfield.replay
+
+import io.quetzalfield.decision.RouteRequest
+import io.quetzalfield.decision.checkPermission
+import io.quetzalfield.model.ListsSnapshot
+import io.quetzalfield.model.ModelVersionReference
+import io.quetzalfield.model.NotRun
+import io.quetzalfield.model.RefusalReason
+import io.quetzalfield.model.SessionId
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Replays [trace] by the policy that [policy] builds; the same [seed] gives the same measures. */
+public fun replay(trace: Trace, policy: NamedPolicy, seed: Long = 0): ReplayMeasures = Replay(trace, policy, seed).run()
+
+/** One replay: takes the events of the trace one by one, and follows each request to its end. */
+private class Replay(private val trace: Trace, private val named: NamedPolicy, seed: Long) {
+    private val loop = EventLoop()
+    private val fleet = FleetModel(trace.header, loop)
+    private val measures = MeasureCollector(named.label, trace)
+    private val policy = named.create(PolicyContext(trace, loop.timeSource, Random(seed)) { loop.now })
+    private val pins = HashMap<SessionId, ModelVersionReference>()
+    private val badVersions = trace.events.filterIsInstance<TraceBadVersion>()
+    private val execution = RequestExecution(loop, fleet, policy, measures, Random(seed), trace, ::isBad)
+    private var snapshot = ListsSnapshot(trace.header.lists)
+
+    fun run(): ReplayMeasures {
+        for (event in trace.events) {
+            loop.schedule(event.timeMilliseconds.milliseconds) { take(event) }
+        }
+        loop.run()
+        return measures.result()
+    }
+
+    private fun take(event: TraceEvent) {
+        when (event) {
+            is TraceRequest -> receive(event)
+            is TraceRunnerReport -> fleet.report(event)
+            is TraceListsChange -> snapshot = ListsSnapshot(event.lists)
+            is TraceRunnerLoss -> lose(event)
+            is TraceBadVersion -> Unit
+        }
+    }
+
+    private fun lose(event: TraceRunnerLoss) {
+        fleet.fail(event.runner)
+        loop.schedule(event.untilMilliseconds.milliseconds) { fleet.runner(event.runner).recover() }
+    }
+
+    private fun receive(request: TraceRequest) {
+        measures.onRequest()
+        val account = snapshot.account(request.account) ?: return measures.onRefusal(RefusalReason.UNKNOWN_API_KEY)
+        val plan = snapshot.plan(account.plan) ?: return measures.onRefusal(RefusalReason.NOT_ALLOWED_BY_PLAN)
+        val admission = ReplayAdmissionRequest(account, plan, request.answerTokens, fleet.pressure())
+        val end = policy.admission.admit(admission)
+            .onLeft { measures.onRefusal(it.refusal) }
+            .getOrNull() ?: return
+        val job = Job(request, plan, loop.now, end)
+        when (val refusal = route(job)) {
+            null -> execution.start(job)
+            else -> execution.refuse(job, refusal)
+        }
+    }
+
+    /** Sets the route of [job]: the pin of its session, or what the policy chooses. */
+    private fun route(job: Job): NotRun? {
+        val session = job.request.session
+        val pin = session?.let(pins::get)
+        if (pin != null) {
+            job.stages = listOf(pin)
+            return checkPermission(snapshot, job.plan.id, pin, isOnVersion = true)
+        }
+        val maximumStages = if (session == null) RouteRequest.DEFAULT_MAXIMUM_STAGES else 1
+        val request = RouteRequest(
+            plan = job.plan,
+            kind = job.request.kind,
+            expectedTokens = job.request.answerTokens,
+            maximumStages = maximumStages,
+        )
+        return policy.routes.choose(request, snapshot, policy.feedback.stoppedVersions()).fold({ it }) { route ->
+            job.stages = route.stages
+            job.gate = route.gate
+            if (session != null) pins[session] = route.stages.first()
+            route.stages.firstNotNullOfOrNull { checkPermission(snapshot, job.plan.id, it, isOnVersion = false) }
+        }
+    }
+
+    private fun isBad(version: ModelVersionReference, time: Long): Boolean =
+        badVersions.any { it.version == version && time in it.timeMilliseconds until it.untilMilliseconds }
+}
--- /dev/null
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/ReplayTable.kt
@@ -0,0 +1,21 @@
+package io.quetzalfield.replay
+
+/** A Markdown table of [summaries]: a row per measure and reason of refusal, a column per policy. */
+public fun replayTable(summaries: List<PolicySummary>): String = buildString {
+    appendLine(row("measure", summaries.map { it.policy }))
+    appendLine(row("---", summaries.map { "---:" }))
+    for (measure in Measure.entries) appendLine(row(measure.title, summaries.map { cell(it, measure) }))
+    val reasons = summaries.flatMap { it.refusals.keys }.distinct().sorted()
+    for (reason in reasons) {
+        appendLine(row("refused: ${reason.code}", summaries.map { "%.1f".format(it.refusals[reason] ?: 0.0) }))
+    }
+}
+
+private fun row(title: String, cells: List<String>): String = "| $title | ${cells.joinToString(" | ")} |"
+
+private fun cell(summary: PolicySummary, measure: Measure): String {
+    val value = summary.measures.getValue(measure)
+    val format = "%.${measure.decimals}f"
+    val mean = format.format(value.mean)
+    return if (summary.seeds < 2) mean else "$mean ± ${format.format(value.halfWidth)}"
+}
