Look for falls over all kinds of a version, and take its evidence back after recovery

Cause: after a version turned bad and recovered, its ratings from the bad spell kept it unused for the rest of the trace, so dearer versions answered.

Change: one fall detector per version over all kinds; the evidence of a fall fades with time, and the evidence from before is taken back when a second detector sees the rate rise.

--- a/decision/src/main/kotlin/io/quetzalfield/decision/ChangeDetector.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/ChangeDetector.kt
@@ -3,27 +3,34 @@
 import kotlin.math.ln
 import kotlin.math.max
 
+/** The two directions in which a pass rate may change. */
+internal enum class RateChange { FALL, RISE }
+
 /**
- * Notices that a pass rate has fallen, by Page's cumulative sum test on the log-likelihood ratio of the fallen rate to
- * the expected one.
+ * Notices that a pass rate has fallen by [drop] from the expected one, or has risen back to it, by Page's cumulative
+ * sum test on the log-likelihood ratio of the two.
  *
- * @param drop how far the rate must fall to be noticed soon, as a share from 0 to 1.
- * @param threshold log-likelihood ratio, in nats, at which a fall is certain enough.
+ * @param drop difference of the two rates, as a share from 0 to 1.
+ * @param threshold log-likelihood ratio, in nats, at which the change is certain enough.
  */
-internal class ChangeDetector(private val drop: Double, private val threshold: Double) {
+internal class ChangeDetector(
+    private val change: RateChange,
+    private val drop: Double,
+    private val threshold: Double,
+) {
     private var sum = 0.0
 
-    /** Whether the observations so far speak for no fall at all. */
+    /** Whether the observations so far speak for no change at all. */
     val isAtZero: Boolean get() = sum == 0.0
 
     val hasAlarm: Boolean get() = sum >= threshold
 
-    /** Takes one observation that was expected to pass with the probability [expected]. */
+    /** Takes one observation that passes with the probability [expected] where the rate has not fallen. */
     fun observe(passed: Boolean, expected: Double) {
-        val before = expected.coerceIn(MINIMUM_RATE + drop, MAXIMUM_RATE)
-        val after = before - drop
-        val ratio = if (passed) ln(after / before) else ln((1 - after) / (1 - before))
-        sum = max(0.0, sum + ratio)
+        val high = expected.coerceIn(MINIMUM_RATE + drop, MAXIMUM_RATE)
+        val low = high - drop
+        val ratioOfFall = if (passed) ln(low / high) else ln((1 - low) / (1 - high))
+        sum = max(0.0, sum + if (change == RateChange.FALL) ratioOfFall else -ratioOfFall)
     }
 
     fun reset() {
--- a/decision/src/main/kotlin/io/quetzalfield/decision/LearnedQualityEstimates.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/LearnedQualityEstimates.kt
@@ -4,6 +4,11 @@
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlin.math.pow
+import kotlin.math.sqrt
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /**
  * How pass rates are learnt.
@@ -14,7 +19,10 @@
  * whose first answer was not accepted.
  * @property halfLifeInRatings after how many further ratings of the same version and kind a rating counts half.
  * @property noticedDrop fall of a pass rate, as a share from 0 to 1, that the change detector is tuned to.
- * @property alarmThreshold log-likelihood ratio, in nats, at which older ratings are forgotten.
+ * @property fallThreshold log-likelihood ratio, in nats, at which a fall is noticed and older ratings are set aside.
+ * @property riseThreshold log-likelihood ratio, in nats, at which a fallen version is found to have recovered.
+ * @property fallenHalfLife after what time a rating of a fallen version counts half.
+ * @property fadeInterval least time between two steps of that discount.
  */
 public data class LearningSettings(
     val priorRatings: Double = 20.0,
@@ -22,9 +30,16 @@
     val escalatedPriorFactor: Double = 0.95,
     val halfLifeInRatings: Double = 5_000.0,
     val noticedDrop: Double = 0.15,
-    val alarmThreshold: Double = 10.0,
+    val fallThreshold: Double = 10.0,
+    val riseThreshold: Double = 4.0,
+    val fallenHalfLife: Duration = 2.minutes,
+    val fadeInterval: Duration = 1.seconds,
 ) {
-    internal val retentionPerRating: Double get() = 0.5.pow(1 / halfLifeInRatings)
+    internal val retentionPerRating: Double get() = HALF.pow(1 / halfLifeInRatings)
+
+    private companion object {
+        const val HALF = 0.5
+    }
 }
 
 /**
@@ -53,21 +68,17 @@
  * Pass rates learnt from ratings, by version, kind of request and acceptance score.
  *
  * Each rate is the mean of a Beta distribution whose prior is that of the operators' lists. Older ratings count less,
- * and are forgotten when a change detector finds that the rate has fallen. Thread-safe: the cells are spread over
- * shards, each under its own lock.
+ * and are set aside when a change detector finds that the version's rate has fallen. Thread-safe: versions are spread
+ * over shards, each under its own lock.
  */
-public class LearnedQualityEstimates(private val settings: LearningSettings = LearningSettings()) :
-    QualityEstimates,
+public class LearnedQualityEstimates(
+    private val settings: LearningSettings = LearningSettings(),
+    private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) : QualityEstimates,
     CascadeEstimates {
-    private data class Key(
-        val version: ModelVersionReference,
-        val kind: String,
-        val escalatedFrom: ModelVersionReference? = null,
-    )
-
     private class Shard {
         val lock = ReentrantLock()
-        val cells = HashMap<Key, PassRateCell>()
+        val versions = HashMap<ModelVersionReference, VersionEvidence>()
     }
 
     private val shards = List(SHARD_COUNT) { Shard() }
@@ -78,55 +89,40 @@
     /** The pass rate of [version] that is exceeded with a probability of about [confidence]. */
     public fun lowerBound(version: ModelVersionReference, kind: String, prior: Double, confidence: Double): Double {
         val profile = profile(version, kind, prior)
-        return profile.passRate - normalQuantile(confidence) * kotlin.math.sqrt(profile.variance)
+        return profile.passRate - normalQuantile(confidence) * sqrt(profile.variance)
     }
 
     override fun profile(version: ModelVersionReference, kind: String, prior: Double): ScoreProfile =
-        read(Key(version, kind), prior)
+        withEvidence(version) { it.profile(EvidenceKey(kind), prior) }
 
     override fun escalatedProfile(
         first: ModelVersionReference,
         second: ModelVersionReference,
         kind: String,
         prior: Double,
-    ): ScoreProfile {
-        val usual = estimate(second, kind, prior)
-        return read(Key(second, kind, escalatedFrom = first), usual * settings.escalatedPriorFactor)
+    ): ScoreProfile = withEvidence(second) { evidence ->
+        val usual = evidence.profile(EvidenceKey(kind), prior).passRate
+        evidence.profile(EvidenceKey(kind, escalatedFrom = first), usual * settings.escalatedPriorFactor)
     }
 
     /** Takes the acceptance [score] of an answer of a first or only stage, whether it was accepted or not. */
     public fun recordScore(version: ModelVersionReference, kind: String, score: Double) {
-        change(Key(version, kind)) { it.recordScore(score) }
+        withEvidence(version) { it.cell(EvidenceKey(kind)).recordScore(score) }
     }
 
     /** Takes a rating. */
     public fun recordRating(answer: RatedAnswer) {
         val escalation = answer.escalation
-        if (escalation == null) {
-            change(Key(answer.version, answer.kind)) { it.recordRating(answer.score, answer.passed) }
-        } else {
-            val key = Key(answer.version, answer.kind, escalation.version)
-            change(key) { it.recordRating(escalation.score, answer.passed) }
-        }
-    }
-
-    private fun read(key: Key, prior: Double): ScoreProfile = withCell(key) { cell ->
-        cell.prior = prior
-        cell.profile()
-    }
-
-    private fun change(key: Key, action: (PassRateCell) -> Unit) {
-        withCell(key, action)
+        val key = EvidenceKey(answer.kind, escalation?.version)
+        val score = if (escalation == null) answer.score else escalation.score
+        withEvidence(answer.version) { it.recordRating(key, score, answer.passed) }
     }
 
-    private inline fun <T> withCell(key: Key, action: (PassRateCell) -> T): T {
-        val shard = shards[Math.floorMod(key.hashCode(), SHARD_COUNT)]
-        return shard.lock.withLock { action(shard.cells.getOrPut(key) { newCell(key) }) }
-    }
-
-    private fun newCell(key: Key): PassRateCell {
-        val pseudoCount = if (key.escalatedFrom == null) settings.priorRatings else settings.escalatedPriorRatings
-        return PassRateCell(settings, pseudoCount)
+    private inline fun <T> withEvidence(version: ModelVersionReference, action: (VersionEvidence) -> T): T {
+        val shard = shards[Math.floorMod(version.hashCode(), SHARD_COUNT)]
+        return shard.lock.withLock {
+            action(shard.versions.getOrPut(version) { VersionEvidence(settings, timeSource) })
+        }
     }
 
     private companion object {
--- a/decision/src/main/kotlin/io/quetzalfield/decision/LearningRouting.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/LearningRouting.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.decision
 
 import kotlin.random.Random
+import kotlin.time.TimeSource
 
 /**
  * The cascade choice with the estimates that it learns from, as an entry and replay use it.
@@ -12,9 +13,10 @@
 public class LearningRouting(
     settings: CascadeSettings,
     random: Random,
+    timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     learning: LearningSettings = LearningSettings(),
 ) {
-    public val qualities: LearnedQualityEstimates = LearnedQualityEstimates(learning)
+    public val qualities: LearnedQualityEstimates = LearnedQualityEstimates(learning, timeSource)
     public val latencies: LearnedLatencyEstimates = LearnedLatencyEstimates()
     public val chooser: RouteChooser =
         RolloutRouteChooser(CascadeRouteChooser(settings, qualities, latencies, random), random)
--- a/decision/src/main/kotlin/io/quetzalfield/decision/PassRateCell.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/PassRateCell.kt
@@ -1,61 +1,105 @@
 package io.quetzalfield.decision
 
+/** Weighted numbers of passed and failed answers by score bin. */
+internal class BinnedRatings(
+    val passes: DoubleArray = DoubleArray(ScoreBins.COUNT),
+    val failures: DoubleArray = DoubleArray(ScoreBins.COUNT),
+) {
+    fun copy(): BinnedRatings = BinnedRatings(passes.copyOf(), failures.copyOf())
+
+    fun add(bin: Int, passed: Boolean, amount: Double) {
+        val counts = if (passed) passes else failures
+        counts[bin] += amount
+    }
+
+    fun scale(factor: Double) {
+        scale(passes, factor)
+        scale(failures, factor)
+    }
+}
+
 /**
- * Discounted counts of passed and failed answers by score bin, for one kind of request and one version. Not
+ * The evidence on one version's answers to one kind of request: discounted ratings and scores by score bin. Not
  * thread-safe: its owner holds the lock.
  */
-internal class PassRateCell(private val settings: LearningSettings, private val pseudoCount: Double) {
+internal class PassRateCell(private val retentionPerRating: Double, private val pseudoCount: Double) {
     private val scores = DoubleArray(ScoreBins.COUNT)
-    private val passes = DoubleArray(ScoreBins.COUNT)
-    private val failures = DoubleArray(ScoreBins.COUNT)
-    private val recentPasses = DoubleArray(ScoreBins.COUNT)
-    private val recentFailures = DoubleArray(ScoreBins.COUNT)
-    private val detector = ChangeDetector(settings.noticedDrop, settings.alarmThreshold)
-    private val retention = settings.retentionPerRating
+    private var ratings = BinnedRatings()
+    private var recent = BinnedRatings()
+    private var beforeFall: BinnedRatings? = null
 
     /** The pass rate assumed without ratings, as last given by a reader. */
     var prior: Double = DEFAULT_PRIOR
 
     fun recordScore(score: Double) {
-        scale(scores, retention)
+        scale(scores, retentionPerRating)
         scores[ScoreBins.binOf(score)] += 1.0
     }
 
     fun recordRating(score: Double?, passed: Boolean) {
-        detector.observe(passed, expectedRate(score))
-        listOf(passes, failures).forEach { scale(it, retention) }
+        ratings.scale(retentionPerRating)
         if (score == null) {
             spread(passed)
         } else {
             add(ScoreBins.binOf(score), passed, amount = 1.0)
         }
-        if (detector.isAtZero) listOf(recentPasses, recentFailures).forEach { it.fill(0.0) }
-        if (detector.hasAlarm) forgetBeforeChange()
+    }
+
+    /** The pass rate of an answer with [score], by the evidence from before a fall if there was one. */
+    fun expectedRate(score: Double?): Double {
+        val evidence = beforeFall ?: ratings
+        if (score != null) return rate(evidence, ScoreBins.binOf(score))
+        val frequencies = frequencies()
+        return frequencies.indices.sumOf { frequencies[it] * rate(evidence, it) }
     }
 
     fun profile(): ScoreProfile {
-        val rates = DoubleArray(ScoreBins.COUNT, ::rate)
-        val variances = DoubleArray(ScoreBins.COUNT) { bin -> rates[bin] * (1 - rates[bin]) / (weight(bin) + 1) }
+        val rates = DoubleArray(ScoreBins.COUNT) { bin -> rate(ratings, bin) }
+        val variances = DoubleArray(ScoreBins.COUNT) { bin ->
+            rates[bin] * (1 - rates[bin]) / (weight(ratings, bin) + 1)
+        }
         return ScoreProfile(frequencies(), rates, variances)
     }
 
+    /** Forgets which ratings are recent: no change is under suspicion. */
+    fun clearRecent() {
+        recent = BinnedRatings()
+    }
+
+    /** Sets the ratings from before the suspected fall aside. */
+    fun forgetBeforeFall() {
+        if (beforeFall == null) beforeFall = ratings
+        ratings = recent.copy()
+    }
+
+    /** Takes the ratings from before the fall back, as the rate has risen to what they say. */
+    fun restoreBeforeFall() {
+        ratings = beforeFall ?: return
+        beforeFall = null
+    }
+
+    /** Makes the ratings since a fall count less. */
+    fun fade(factor: Double) {
+        if (beforeFall != null) ratings.scale(factor)
+    }
+
     private fun frequencies(): DoubleArray {
         val total = scores.sum() + 1.0
         return DoubleArray(ScoreBins.COUNT) { bin -> (scores[bin] + 1.0 / ScoreBins.COUNT) / total }
     }
 
-    private fun weight(bin: Int): Double = passes[bin] + failures[bin] + pseudoCount / ScoreBins.COUNT
-
-    private fun rate(bin: Int): Double = (passes[bin] + prior * pseudoCount / ScoreBins.COUNT) / weight(bin)
+    private fun weight(evidence: BinnedRatings, bin: Int): Double =
+        evidence.passes[bin] + evidence.failures[bin] + pseudoCount / ScoreBins.COUNT
 
-    private fun expectedRate(score: Double?): Double =
-        if (score == null) profile().passRate else rate(ScoreBins.binOf(score))
+    private fun rate(evidence: BinnedRatings, bin: Int): Double =
+        (evidence.passes[bin] + prior * pseudoCount / ScoreBins.COUNT) / weight(evidence, bin)
 
     /** Shares a rating without a score among the bins by how probable each is, given the rating. */
     private fun spread(passed: Boolean) {
         val frequencies = frequencies()
         val likelihoods = DoubleArray(ScoreBins.COUNT) { bin ->
-            frequencies[bin] * (if (passed) rate(bin) else 1 - rate(bin))
+            val rate = rate(ratings, bin)
+            frequencies[bin] * (if (passed) rate else 1 - rate)
         }
         val total = likelihoods.sum()
         if (total <= 0.0) return
@@ -63,23 +107,15 @@
     }
 
     private fun add(bin: Int, passed: Boolean, amount: Double) {
-        val (all, recent) = if (passed) passes to recentPasses else failures to recentFailures
-        all[bin] += amount
-        recent[bin] += amount
-    }
-
-    private fun forgetBeforeChange() {
-        recentPasses.copyInto(passes)
-        recentFailures.copyInto(failures)
-        listOf(recentPasses, recentFailures).forEach { it.fill(0.0) }
-        detector.reset()
-    }
-
-    private fun scale(values: DoubleArray, factor: Double) {
-        for (index in values.indices) values[index] *= factor
+        ratings.add(bin, passed, amount)
+        recent.add(bin, passed, amount)
     }
 
     private companion object {
         const val DEFAULT_PRIOR = 0.9
     }
 }
+
+private fun scale(values: DoubleArray, factor: Double) {
+    for (index in values.indices) values[index] *= factor
+}
--- a/decision/src/test/kotlin/io/quetzalfield/decision/LearnedQualityEstimatesTest.kt
+++ b/decision/src/test/kotlin/io/quetzalfield/decision/LearnedQualityEstimatesTest.kt
@@ -10,12 +10,15 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.TestTimeSource
 
 private val VERSION = checkNotNull(ModelVersionReference.parse("small@1"))
 private const val KIND = "question"
 
 class LearnedQualityEstimatesTest {
-    private val estimates = LearnedQualityEstimates()
+    private val clock = TestTimeSource()
+    private val estimates = LearnedQualityEstimates(timeSource = clock)
     private val random = Random(3)
 
     private fun rate(count: Int, passRate: Double, hasScore: Boolean = true) = repeat(count) {
@@ -68,6 +71,24 @@
             assertTrue(estimates.estimate(VERSION, KIND, prior = 0.9) < 0.75)
         }
 
+        @Test
+        fun `a fall on one kind shows on the other kinds`() {
+            rate(count = 5_000, passRate = 0.94)
+            repeat(200) { estimates.recordRating(RatedAnswer(VERSION, "other", passed = true)) }
+            repeat(60) { estimates.recordRating(RatedAnswer(VERSION, "other", passed = it % 2 == 0)) }
+            assertTrue(estimates.lowerBound(VERSION, KIND, prior = 0.9, confidence = 0.9) < 0.9)
+        }
+
+        @Test
+        fun `the evidence of a fall fades, and the evidence before it is taken back after recovery`() {
+            rate(count = 5_000, passRate = 0.94)
+            rate(count = 100, passRate = 0.47)
+            clock += 1.hours
+            assertEquals(0.9, estimates.estimate(VERSION, KIND, prior = 0.9), absoluteTolerance = 0.01)
+            rate(count = 100, passRate = 0.94)
+            assertTrue(estimates.lowerBound(VERSION, KIND, prior = 0.9, confidence = 0.99) > 0.92)
+        }
+
         @Test
         fun `a steady pass rate raises no alarm`() {
             repeat(10) {
--- a/replay/src/main/kotlin/io/quetzalfield/replay/Measures.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/Measures.kt
@@ -150,12 +150,15 @@
     private fun isWarm(arrival: Duration): Boolean = arrival.inWholeMilliseconds >= warmFromMilliseconds
 
     private fun summary(histogram: Histogram): LatencySummary = LatencySummary(
-        p50 = histogram.getValueAtPercentile(50.0),
-        p95 = histogram.getValueAtPercentile(95.0),
-        p99 = histogram.getValueAtPercentile(99.0),
+        p50 = histogram.getValueAtPercentile(MEDIAN),
+        p95 = histogram.getValueAtPercentile(PERCENTILE_95),
+        p99 = histogram.getValueAtPercentile(PERCENTILE_99),
     )
 
     private companion object {
+        const val MEDIAN = 50.0
+        const val PERCENTILE_95 = 95.0
+        const val PERCENTILE_99 = 99.0
         const val WARM_UP_SHARE = 0.2
         const val HISTOGRAM_DIGITS = 3
         const val WINDOW_ANSWERS = 1_000
--- a/replay/src/main/kotlin/io/quetzalfield/replay/NamedPolicy.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/NamedPolicy.kt
@@ -54,7 +54,7 @@
     ReplayPolicy(routes = RolloutRouteChooser(chooser, context.random))
 
 private fun cascade(context: PolicyContext): ReplayPolicy {
-    val routing = LearningRouting(settings(context), context.random)
+    val routing = LearningRouting(settings(context), context.random, context.timeSource)
     return ReplayPolicy(routes = routing.chooser, feedback = LearningFeedback(routing))
 }
 
