Explore more at first and through random parts of the versions

Cause: some traces of the association stayed for their whole length on a route without the medium version, which was seldom tried: exploration took the cheapest uncertain route each time, so few routes were ever learnt. Ruled out: false alarms of the fall detector during learning.

Change: the share of exploration falls from 20% to 2% by decisions on the kind, and each exploring request weighs a random part of the versions. Fallen rates that last are learnt like any other. Kinds are bounded in number.

--- a/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
@@ -20,7 +20,7 @@
  * the pass rate is at its lower bound.
  * @property windowAnswers answers over which the quality target is to be met.
  * @property gateTokens tokens of a first stage's answer after which its acceptance score is taken.
- * @property explorationShare share of requests without a session that try a route which may prove to be better.
+ * @property exploration share of requests without a session that try a route which may prove to be better.
  */
 public data class CascadeSettings(
     val weights: DecisionWeights,
@@ -28,7 +28,7 @@
     val windowConfidence: Double = 0.99,
     val windowAnswers: Int = 1_000,
     val gateTokens: Int = 24,
-    val explorationShare: Double = 0.05,
+    val exploration: ExplorationPlan = ExplorationPlan(),
 )
 
 /**
@@ -43,8 +43,9 @@
     private val settings: CascadeSettings,
     private val estimates: CascadeEstimates,
     private val latencies: LatencyEstimates,
-    private val random: Random,
+    random: Random,
 ) : RouteChooser {
+    private val exploration = ExplorationDraw(settings.exploration, random)
     private val estimateQuantile = normalQuantile(settings.estimateConfidence)
     private val windowQuantile = normalQuantile(settings.windowConfidence)
 
@@ -58,13 +59,19 @@
         val stages = eligible.map { stage(it, request, snapshot) }
         val best = BestOptions(request, dearest = stages.maxOf { it.cost(request.expectedTokens) })
         RouteOptions(request, stages, estimates, settings.gateTokens).forEach(best::weigh)
-        val chosen = if (isExploration(request)) best.explored() else best.chosen()
+        val chosen = if (exploration.isExploration(request)) explored(request, stages, best) else best.chosen()
         val considered = stages.map { considered(it, chosen, best, request.plan.qualityTarget) }
         return Route(chosen.stages, considered, chosen.gate).right()
     }
 
-    private fun isExploration(request: RouteRequest): Boolean =
-        request.maximumStages > 1 && random.nextDouble() < settings.explorationShare
+    /** The cheapest route through some of the [stages] that may reach the target, if it is cheaper than the best. */
+    private fun explored(request: RouteRequest, stages: List<Stage>, best: BestOptions): RouteOption {
+        val some = BestOptions(request, best.dearest)
+        RouteOptions(request, exploration.someOf(stages), estimates, settings.gateTokens).forEach(some::weigh)
+        val usual = best.chosen()
+        val candidate = some.possible() ?: return usual
+        return if (some.weightOf(candidate) < best.weightOf(usual)) candidate else usual
+    }
 
     private fun stage(eligible: EligibleVersion, request: RouteRequest, snapshot: ListsSnapshot): Stage {
         val source = evidenceSource(eligible, snapshot)
@@ -94,7 +101,7 @@
     }
 
     /** The best option by each of the criteria that [choose] falls back on, in one pass over the options. */
-    private inner class BestOptions(request: RouteRequest, private val dearest: Double) {
+    private inner class BestOptions(request: RouteRequest, val dearest: Double) {
         private val target = request.plan.qualityTarget
         private val deadlineSeconds = request.plan.deadlineMilliseconds.milliseconds.toDouble(DurationUnit.SECONDS)
         private val certain = Cheapest()
@@ -119,9 +126,10 @@
         fun chosen(): RouteOption =
             certain.option ?: probable.option ?: checkNotNull(highest) { "no option was weighed" }
 
-        fun explored(): RouteOption = possible.option ?: chosen()
+        /** The cheapest option that may reach the target, as far as the evidence goes. */
+        fun possible(): RouteOption? = possible.option
 
-        private fun weightOf(option: RouteOption): Double {
+        fun weightOf(option: RouteOption): Double {
             val weights = settings.weights
             val relativeCost = if (dearest > 0) option.cost / dearest else 0.0
             return weights.cost * relativeCost +
--- a/decision/src/main/kotlin/io/quetzalfield/decision/LearnedQualityEstimates.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/LearnedQualityEstimates.kt
@@ -21,8 +21,12 @@
  * @property noticedDrop fall of a pass rate, as a share from 0 to 1, that the change detector is tuned to.
  * @property fallThreshold log-likelihood ratio, in nats, at which a fall is noticed and older ratings are set aside.
  * @property riseThreshold log-likelihood ratio, in nats, at which a fallen version is found to have recovered.
+ * @property ratingsBeforeDetection ratings that an expected rate must rest on before a fall from it is looked for; with
+ * fewer, a prior that is wrong for the kind would count as a fall.
+ * @property ratingsOfLastingFall ratings since a fall after which the fallen rate is learnt like any other.
  * @property fallenHalfLife after what time a rating of a fallen version counts half.
  * @property fadeInterval least time between two steps of that discount.
+ * @property maximumCells combinations of kind and former stage that are learnt apart for one version.
  */
 public data class LearningSettings(
     val priorRatings: Double = 20.0,
@@ -32,8 +36,11 @@
     val noticedDrop: Double = 0.15,
     val fallThreshold: Double = 10.0,
     val riseThreshold: Double = 4.0,
+    val ratingsBeforeDetection: Double = 50.0,
+    val ratingsOfLastingFall: Double = 300.0,
     val fallenHalfLife: Duration = 2.minutes,
     val fadeInterval: Duration = 1.seconds,
+    val maximumCells: Int = 512,
 ) {
     internal val retentionPerRating: Double get() = HALF.pow(1 / halfLifeInRatings)
 
--- a/decision/src/main/kotlin/io/quetzalfield/decision/PassRateCell.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/PassRateCell.kt
@@ -12,6 +12,8 @@
         counts[bin] += amount
     }
 
+    fun total(): Double = passes.sum() + failures.sum()
+
     fun scale(factor: Double) {
         scale(passes, factor)
         scale(failures, factor)
@@ -45,6 +47,12 @@
         }
     }
 
+    /** Ratings that the expected rate rests on. */
+    val expectedFrom: Double get() = (beforeFall ?: ratings).total()
+
+    /** Ratings that the present rate rests on. */
+    val ratingCount: Double get() = ratings.total()
+
     /** The pass rate of an answer with [score], by the evidence from before a fall if there was one. */
     fun expectedRate(score: Double?): Double {
         val evidence = beforeFall ?: ratings
@@ -78,6 +86,11 @@
         beforeFall = null
     }
 
+    /** Drops the ratings from before the fall: the rate will stay fallen. */
+    fun dropBeforeFall() {
+        beforeFall = null
+    }
+
     /** Makes the ratings since a fall count less. */
     fun fade(factor: Double) {
         if (beforeFall != null) ratings.scale(factor)
--- a/decision/src/main/kotlin/io/quetzalfield/decision/VersionEvidence.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/VersionEvidence.kt
@@ -22,10 +22,17 @@
     private val rise = ChangeDetector(RateChange.RISE, settings.noticedDrop, settings.riseThreshold)
     private var fadedAt: ComparableTimeMark? = null
 
-    fun cell(key: EvidenceKey): PassRateCell = cells.getOrPut(key) {
+    /** The cell of [key]; kinds beyond the greatest number share cells, as callers name the kinds. */
+    fun cell(key: EvidenceKey): PassRateCell {
+        val isFull = cells.size >= settings.maximumCells && key !in cells
+        val kept = if (isFull) key.copy(kind = OTHER_KINDS) else key
+        return cells.getOrPut(kept) { newCell(kept) }
+    }
+
+    private fun newCell(key: EvidenceKey): PassRateCell {
         val isEscalated = key.escalatedFrom != null
         val pseudoCount = if (isEscalated) settings.escalatedPriorRatings else settings.priorRatings
-        PassRateCell(settings.retentionPerRating, pseudoCount)
+        return PassRateCell(settings.retentionPerRating, pseudoCount)
     }
 
     fun profile(key: EvidenceKey, prior: Double): ScoreProfile {
@@ -39,8 +46,13 @@
         fade()
         val cell = cell(key)
         val expected = cell.expectedRate(score)
+        val isExpectationSound = cell.expectedFrom >= settings.ratingsBeforeDetection
         cell.recordRating(score, passed)
-        if (fadedAt == null) lookForFall(passed, expected) else lookForRise(passed, expected)
+        when {
+            !isExpectationSound -> return
+            fadedAt == null -> lookForFall(passed, expected)
+            else -> lookForRise(passed, expected)
+        }
     }
 
     private fun lookForFall(passed: Boolean, expected: Double) {
@@ -55,8 +67,9 @@
 
     private fun lookForRise(passed: Boolean, expected: Double) {
         rise.observe(passed, expected)
-        if (!rise.hasAlarm) return
-        cells.values.forEach { it.restoreBeforeFall() }
+        val isLasting = cells.values.sumOf { it.ratingCount } >= settings.ratingsOfLastingFall
+        if (!rise.hasAlarm && !isLasting) return
+        cells.values.forEach { if (rise.hasAlarm) it.restoreBeforeFall() else it.dropBeforeFall() }
         cells.values.forEach { it.clearRecent() }
         fadedAt = null
     }
@@ -73,5 +86,6 @@
 
     private companion object {
         const val HALF = 0.5
+        const val OTHER_KINDS = ""
     }
 }
--- a/replay/src/main/kotlin/io/quetzalfield/replay/Measures.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/Measures.kt
@@ -23,6 +23,8 @@
  * @property warmWindowsAtTarget the same without the first fifth of the trace.
  * @property badVersionAnswers answers by a version while it was bad.
  * @property lateAnswers answers after their plan's deadline.
+ * @property costByTenth cost per accepted answer in each tenth of the trace's duration.
+ * @property passShareByTenth share of answers that pass in each tenth.
  * @property goodput answers that pass in time, per second.
  */
 @Serializable
@@ -41,6 +43,8 @@
     val escalatedShare: Double,
     val lateAnswers: Int,
     val goodput: Double,
+    val costByTenth: List<Double>,
+    val passShareByTenth: List<Double>,
     val refusals: Map<RefusalReason, Int>,
     val interruptions: Map<InterruptionReason, Int>,
 )
@@ -64,6 +68,7 @@
     private val totals = Histogram(HISTOGRAM_DIGITS)
     private val all = Tally()
     private val warm = Tally()
+    private val tenths = List(TENTHS) { Tally() }
     private val refusals = EnumMap<RefusalReason, Int>(RefusalReason::class.java)
     private val interruptions = EnumMap<InterruptionReason, Int>(InterruptionReason::class.java)
     private var requests = 0
@@ -86,6 +91,8 @@
             passesByPlan.getOrPut(answer.plan.id, ::mutableListOf) += answer.passes
         }
 
+        fun passShare(): Double = passes.toDouble() / maxOf(answers, 1)
+
         fun costPerPass(): Double = if (passes == 0) 0.0 else cost / passes
 
         /** Share of the sliding windows, a hundred answers apart, that meet their plan's target. */
@@ -106,11 +113,13 @@
     fun onCost(arrival: Duration, cost: Double) {
         all.cost += cost
         if (isWarm(arrival)) warm.cost += cost
+        tenth(arrival).cost += cost
     }
 
     fun onAnswer(answer: MeasuredAnswer) {
         all.add(answer)
         if (isWarm(answer.arrival)) warm.add(answer)
+        tenth(answer.arrival).add(answer)
         firstTokens.recordValue(answer.untilFirstToken.inWholeMilliseconds)
         totals.recordValue(answer.untilEnd.inWholeMilliseconds)
         val isLate = answer.untilEnd.inWholeMilliseconds > answer.plan.deadlineMilliseconds
@@ -134,7 +143,7 @@
         answers = all.answers,
         costPerAcceptedAnswer = all.costPerPass(),
         warmCostPerAcceptedAnswer = warm.costPerPass(),
-        passShare = all.passes.toDouble() / maxOf(all.answers, 1),
+        passShare = all.passShare(),
         windowsAtTarget = all.windowsAtTarget(),
         warmWindowsAtTarget = warm.windowsAtTarget(),
         firstToken = summary(firstTokens),
@@ -143,10 +152,17 @@
         escalatedShare = escalated.toDouble() / maxOf(all.answers, 1),
         lateAnswers = late,
         goodput = good * MILLISECONDS_PER_SECOND / maxOf(duration, 1),
+        costByTenth = tenths.map { it.costPerPass() },
+        passShareByTenth = tenths.map { it.passShare() },
         refusals = refusals.toMap(),
         interruptions = interruptions.toMap(),
     )
 
+    private fun tenth(arrival: Duration): Tally {
+        val index = (arrival.inWholeMilliseconds * TENTHS / maxOf(duration, 1)).toInt()
+        return tenths[index.coerceAtMost(TENTHS - 1)]
+    }
+
     private fun isWarm(arrival: Duration): Boolean = arrival.inWholeMilliseconds >= warmFromMilliseconds
 
     private fun summary(histogram: Histogram): LatencySummary = LatencySummary(
@@ -160,6 +176,7 @@
         const val PERCENTILE_95 = 95.0
         const val PERCENTILE_99 = 99.0
         const val WARM_UP_SHARE = 0.2
+        const val TENTHS = 10
         const val HISTOGRAM_DIGITS = 3
         const val WINDOW_ANSWERS = 1_000
         const val WINDOW_STEP = 100
--- a/replay/src/main/kotlin/io/quetzalfield/replay/NamedPolicy.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/NamedPolicy.kt
@@ -4,6 +4,7 @@
 import io.quetzalfield.decision.CascadeRouteChooser
 import io.quetzalfield.decision.CascadeSettings
 import io.quetzalfield.decision.CheapestSufficientRouteChooser
+import io.quetzalfield.decision.ExplorationPlan
 import io.quetzalfield.decision.FixedCascadeRouteChooser
 import io.quetzalfield.decision.LearnedLatencyEstimates
 import io.quetzalfield.decision.LearningRouting
@@ -76,7 +77,7 @@
 private fun oracle(context: PolicyContext, windowConfidence: Double): ReplayPolicy {
     val estimates = OracleEstimates(context.trace, context.now)
     val latencies = LearnedLatencyEstimates()
-    val settings = settings(context).copy(windowConfidence = windowConfidence, explorationShare = 0.0)
+    val settings = settings(context).copy(windowConfidence = windowConfidence, exploration = ExplorationPlan.None)
     val chooser = CascadeRouteChooser(settings, estimates, latencies, context.random)
     val feedback = object : PolicyFeedback {
         override fun onLatency(version: ModelVersionReference, latency: VersionLatency) {
--- a/replay/src/main/kotlin/io/quetzalfield/replay/Replay.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/Replay.kt
@@ -11,14 +11,23 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Replays [trace] by the policy that [policy] builds; the same [seed] gives the same measures. */
-public fun replay(trace: Trace, policy: NamedPolicy, seed: Long = 0): ReplayMeasures = Replay(trace, policy, seed).run()
+public fun replay(trace: Trace, policy: NamedPolicy, seed: Long = 0): ReplayMeasures =
+    replayWith(trace, policy.label, policy.create, seed)
+
+/** Replays [trace] by the policy that [create] builds, under the name [label]. */
+internal fun replayWith(
+    trace: Trace,
+    label: String,
+    create: (PolicyContext) -> ReplayPolicy,
+    seed: Long = 0,
+): ReplayMeasures = Replay(trace, label, create, seed).run()
 
 /** One replay: takes the events of the trace one by one, and follows each request to its end. */
-private class Replay(private val trace: Trace, private val named: NamedPolicy, seed: Long) {
+private class Replay(private val trace: Trace, label: String, create: (PolicyContext) -> ReplayPolicy, seed: Long) {
     private val loop = EventLoop()
     private val fleet = FleetModel(trace.header, loop)
-    private val measures = MeasureCollector(named.label, trace)
-    private val policy = named.create(PolicyContext(trace, loop.timeSource, Random(seed)) { loop.now })
+    private val measures = MeasureCollector(label, trace)
+    private val policy = create(PolicyContext(trace, loop.timeSource, Random(seed)) { loop.now })
     private val pins = HashMap<SessionId, ModelVersionReference>()
     private val badVersions = trace.events.filterIsInstance<TraceBadVersion>()
     private val execution = RequestExecution(loop, fleet, policy, measures, Random(seed), trace, ::isBad)
--- a/replay/src/main/kotlin/io/quetzalfield/replay/SeedSeries.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/SeedSeries.kt
@@ -11,6 +11,8 @@
 /**
  * The measures of one policy over one or more traces.
  *
+ * @property costByTenth mean cost per accepted answer in each tenth of the traces.
+ * @property passShareByTenth mean share of answers that pass in each tenth.
  * @property refusals mean number of refused requests by reason.
  */
 @Serializable
@@ -18,6 +20,8 @@
     val policy: String,
     val seeds: Int,
     val measures: Map<Measure, MeanWithInterval>,
+    val costByTenth: List<Double>,
+    val passShareByTenth: List<Double>,
     val refusals: Map<RefusalReason, Double>,
 )
 
@@ -29,6 +33,8 @@
         policy = runs.first().policy,
         seeds = runs.size,
         measures = Measure.entries.associateWith { measure -> mean(runs.map(measure.value)) },
+        costByTenth = meanByIndex(runs.map { it.costByTenth }),
+        passShareByTenth = meanByIndex(runs.map { it.passShareByTenth }),
         refusals = reasons.associateWith { reason -> runs.sumOf { it.refusals[reason] ?: 0 }.toDouble() / runs.size },
     )
 }
@@ -47,6 +53,9 @@
     return runs.groupBy { it.policy }.values.map(::summarise)
 }
 
+private fun meanByIndex(lists: List<List<Double>>): List<Double> =
+    lists.first().indices.map { index -> lists.map { it[index] }.average() }
+
 private const val NORMAL_QUANTILE_95 = 1.96
 
 private fun mean(values: List<Double>): MeanWithInterval {
