Replay with the roll-out test, the runner choice and the admission of the entries

Cause: roll-outs of a bad version ran to the operator's withdrawal, which alone failed windows of the quality target.

A session in a stopped version stays on it.

--- a/replay/src/main/kotlin/io/quetzalfield/replay/NamedPolicy.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/NamedPolicy.kt
@@ -4,6 +4,7 @@
 import io.quetzalfield.decision.CascadeRouteChooser
 import io.quetzalfield.decision.CascadeSettings
 import io.quetzalfield.decision.CheapestSufficientRouteChooser
+import io.quetzalfield.decision.ExpectedFinishRunnerChooser
 import io.quetzalfield.decision.ExplorationPlan
 import io.quetzalfield.decision.FixedCascadeRouteChooser
 import io.quetzalfield.decision.LearnedLatencyEstimates
@@ -13,6 +14,7 @@
 import io.quetzalfield.decision.RouteChooser
 import io.quetzalfield.decision.SingleVersionRouteChooser
 import io.quetzalfield.decision.VersionLatency
+import io.quetzalfield.model.ListsSnapshot
 import io.quetzalfield.model.ModelVersionReference
 
 /**
@@ -21,9 +23,12 @@
  * @property label the name on the command line and in reports.
  */
 public enum class NamedPolicy(public val label: String, internal val create: (PolicyContext) -> ReplayPolicy) {
-    /** The policy of the entries. */
+    /** The policy of the entries, without admission. */
     CASCADE("cascade", ::cascade),
 
+    /** The policy of the entries with admission by allowance, deadline and fair share. */
+    ADMITTED_CASCADE("admitted-cascade", ::admittedCascade),
+
     /** Always the best version. */
     ALWAYS_BEST("always-best", { baseline(it, SingleVersionRouteChooser.Best) }),
 
@@ -51,15 +56,36 @@
 
 private fun settings(context: PolicyContext) = CascadeSettings(context.trace.header.deployment.weights)
 
+private fun runnerChooser(context: PolicyContext) = ExpectedFinishRunnerChooser(random = context.random)
+
 private fun baseline(context: PolicyContext, chooser: RouteChooser): ReplayPolicy =
-    ReplayPolicy(routes = RolloutRouteChooser(chooser, context.random))
+    ReplayPolicy(routes = RolloutRouteChooser(chooser, context.random), runners = runnerChooser(context))
 
 private fun cascade(context: PolicyContext): ReplayPolicy {
     val routing = LearningRouting(settings(context), context.random, context.timeSource)
-    return ReplayPolicy(routes = routing.chooser, feedback = LearningFeedback(routing))
+    return ReplayPolicy(
+        routes = routing.chooser,
+        runners = runnerChooser(context),
+        feedback = LearningFeedback(routing, RolloutStops()),
+    )
+}
+
+private fun admittedCascade(context: PolicyContext): ReplayPolicy {
+    val routing = LearningRouting(settings(context), context.random, context.timeSource)
+    return ReplayPolicy(
+        routes = routing.chooser,
+        runners = runnerChooser(context),
+        feedback = LearningFeedback(routing, RolloutStops()),
+        admission = FairShareAdmission(context, routing.latencies),
+    )
 }
 
-private class LearningFeedback(private val routing: LearningRouting) : PolicyFeedback {
+private class LearningFeedback(private val routing: LearningRouting, private val stops: RolloutStops) :
+    PolicyFeedback {
+    override fun onLists(snapshot: ListsSnapshot) {
+        stops.onLists(snapshot)
+    }
+
     override fun onScore(version: ModelVersionReference, kind: String, score: Double) {
         routing.qualities.recordScore(version, kind, score)
     }
@@ -71,7 +97,10 @@
     override fun onRating(answer: ReplayedAnswer, passed: Boolean) {
         val rated = RatedAnswer(answer.version, answer.kind, passed, answer.score, answer.escalation)
         routing.qualities.recordRating(rated)
+        stops.onRating(answer.version, passed)
     }
+
+    override fun stoppedVersions(): Set<ModelVersionReference> = stops.stoppedVersions()
 }
 
 private fun oracle(context: PolicyContext, windowConfidence: Double): ReplayPolicy {
@@ -86,5 +115,5 @@
 
         override fun stoppedVersions(): Set<ModelVersionReference> = estimates.badVersions()
     }
-    return ReplayPolicy(routes = RolloutRouteChooser(chooser, context.random), feedback = feedback)
+    return ReplayPolicy(RolloutRouteChooser(chooser, context.random), runnerChooser(context), feedback)
 }
--- a/replay/src/main/kotlin/io/quetzalfield/replay/Replay.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/Replay.kt
@@ -2,6 +2,7 @@
 
 import io.quetzalfield.decision.RouteRequest
 import io.quetzalfield.decision.checkPermission
+import io.quetzalfield.model.ClientAccount
 import io.quetzalfield.model.ListsSnapshot
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.NotRun
@@ -34,6 +35,7 @@
     private var snapshot = ListsSnapshot(trace.header.lists)
 
     fun run(): ReplayMeasures {
+        policy.feedback.onLists(snapshot)
         for (event in trace.events) {
             loop.schedule(event.timeMilliseconds.milliseconds) { take(event) }
         }
@@ -45,12 +47,17 @@
         when (event) {
             is TraceRequest -> receive(event)
             is TraceRunnerReport -> fleet.report(event)
-            is TraceListsChange -> snapshot = ListsSnapshot(event.lists)
+            is TraceListsChange -> changeLists(ListsSnapshot(event.lists))
             is TraceRunnerLoss -> lose(event)
             is TraceBadVersion -> Unit
         }
     }
 
+    private fun changeLists(changed: ListsSnapshot) {
+        snapshot = changed
+        policy.feedback.onLists(changed)
+    }
+
     private fun lose(event: TraceRunnerLoss) {
         fleet.fail(event.runner)
         loop.schedule(event.untilMilliseconds.milliseconds) { fleet.runner(event.runner).recover() }
@@ -60,15 +67,20 @@
         measures.onRequest()
         val account = snapshot.account(request.account) ?: return measures.onRefusal(RefusalReason.UNKNOWN_API_KEY)
         val plan = snapshot.plan(account.plan) ?: return measures.onRefusal(RefusalReason.NOT_ALLOWED_BY_PLAN)
-        val admission = ReplayAdmissionRequest(account, plan, request.answerTokens, fleet.pressure())
-        val end = policy.admission.admit(admission)
-            .onLeft { measures.onRefusal(it.refusal) }
-            .getOrNull() ?: return
-        val job = Job(request, plan, loop.now, end)
-        when (val refusal = route(job)) {
-            null -> execution.start(job)
-            else -> execution.refuse(job, refusal)
-        }
+        val job = Job(request, plan, loop.now)
+        val refusal = route(job) ?: admit(job, account)
+        if (refusal == null) execution.start(job) else execution.refuse(job, refusal)
+    }
+
+    private fun admit(job: Job, account: ClientAccount): NotRun? {
+        val request = ReplayAdmissionRequest(
+            account = account,
+            plan = job.plan,
+            version = job.version,
+            expectedTokens = job.request.answerTokens,
+            pressure = fleet.pressure(),
+        )
+        return policy.admission.admit(request).onRight { job.onEnd = it }.leftOrNull()
     }
 
     /** Sets the route of [job]: the pin of its session, or what the policy chooses. */
--- a/replay/src/main/kotlin/io/quetzalfield/replay/ReplayPolicy.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/ReplayPolicy.kt
@@ -8,6 +8,7 @@
 import io.quetzalfield.decision.RunnerChooser
 import io.quetzalfield.decision.VersionLatency
 import io.quetzalfield.model.ClientAccount
+import io.quetzalfield.model.ListsSnapshot
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.NotRun
 import io.quetzalfield.model.Plan
@@ -25,6 +26,9 @@
 
 /** What a policy learns from. */
 public interface PolicyFeedback {
+    /** New lists are in force; called once at the start too. */
+    public fun onLists(snapshot: ListsSnapshot) {}
+
     /** A first or only stage has a score, whether its answer is accepted or not. */
     public fun onScore(version: ModelVersionReference, kind: String, score: Double) {}
 
@@ -46,16 +50,18 @@
 /**
  * What admission is asked for.
  *
+ * @property version the version of the first stage.
  * @property pressure requests running and waiting at the runners, as far as reports tell, divided by their slots.
  */
 public data class ReplayAdmissionRequest(
     val account: ClientAccount,
     val plan: Plan,
+    val version: ModelVersionReference,
     val expectedTokens: Int,
     val pressure: Double,
 )
 
-/** Decides which requests run. */
+/** Decides which routed requests run. */
 public fun interface ReplayAdmission {
     /** Admits the request and gives what to call with the number of generated tokens at its end, or refuses it. */
     public fun admit(request: ReplayAdmissionRequest): Either<NotRun, (Int) -> Unit>
--- a/replay/src/main/kotlin/io/quetzalfield/replay/RequestExecution.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/RequestExecution.kt
@@ -16,7 +16,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** A request on its way. */
-internal class Job(val request: TraceRequest, val plan: Plan, val arrival: Duration, val onEnd: (Int) -> Unit) {
+internal class Job(val request: TraceRequest, val plan: Plan, val arrival: Duration) {
+    var onEnd: (Int) -> Unit = {}
     var stages: List<ModelVersionReference> = emptyList()
     var gate: AcceptanceGate? = null
     var stage = 0
@@ -51,6 +52,7 @@
             version = job.version,
             ownFailureDomain = domains.random(random),
             prefixHash = job.request.prefix,
+            priority = job.plan.priority,
         )
         val runner = policy.runners.choose(request, fleet.views())
         if (runner == null) {
