Ask for less certainty of the estimates, and explore more in the long run

Cause: at a confidence of 0.9 per estimate, cheap routes that do meet the target were passed over for want of ratings. All windows met the target, so there was room.

--- a/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
@@ -24,7 +24,7 @@
  */
 public data class CascadeSettings(
     val weights: DecisionWeights,
-    val estimateConfidence: Double = 0.9,
+    val estimateConfidence: Double = 0.75,
     val windowConfidence: Double = 0.99,
     val windowAnswers: Int = 1_000,
     val gateTokens: Int = 24,
--- a/decision/src/main/kotlin/io/quetzalfield/decision/ExplorationPlan.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/ExplorationPlan.kt
@@ -11,7 +11,7 @@
  */
 public data class ExplorationPlan(
     val firstShare: Double = 0.2,
-    val lastShare: Double = 0.02,
+    val lastShare: Double = 0.05,
     val decisions: Int = 1_000,
 ) {
     /** The share after [decided] decisions on a kind of request. */
