--- a/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
@@ -16,6 +16,8 @@
  *
  * @property weights what the deployment minds most.
  * @property estimateConfidence probability with which the true pass rate is at least its lower bound.
+ * @property explorationConfidence probability with which the true pass rate is at most its upper bound; a route whose
+ * upper bound misses the target is not explored.
  * @property windowConfidence probability with which a window of [windowAnswers] answers meets the quality target when
  * the pass rate is at its lower bound.
  * @property windowAnswers answers over which the quality target is to be met.
@@ -25,6 +27,7 @@
 public data class CascadeSettings(
     val weights: DecisionWeights,
     val estimateConfidence: Double = 0.75,
+    val explorationConfidence: Double = 0.98,
     val windowConfidence: Double = 0.99,
     val windowAnswers: Int = 1_000,
     val gateTokens: Int = 24,
@@ -47,6 +50,7 @@
 ) : RouteChooser {
     private val exploration = ExplorationDraw(settings.exploration, random)
     private val estimateQuantile = normalQuantile(settings.estimateConfidence)
+    private val explorationQuantile = normalQuantile(settings.explorationConfidence)
     private val windowQuantile = normalQuantile(settings.windowConfidence)
 
     override fun choose(
@@ -119,7 +123,8 @@
             val combinedMargin = sqrt(windowMargin * windowMargin + estimateMargin * estimateMargin)
             if (option.quality - combinedMargin >= target) certain.offer(option, weight)
             if (option.quality - windowMargin >= target) probable.offer(option, weight)
-            if (option.quality - windowMargin + estimateMargin >= target) possible.offer(option, weight)
+            val explorationMargin = explorationQuantile * option.standardError
+            if (option.quality - windowMargin + explorationMargin >= target) possible.offer(option, weight)
             if (option.quality > (highest?.quality ?: -1.0)) highest = option
         }
 
--- a/replay/src/main/kotlin/io/quetzalfield/replay/TraceGenerator.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/TraceGenerator.kt
@@ -16,7 +16,7 @@
  * What a generated trace looks like.
  *
  * @property requests expected number of requests.
- * @property rateFactor the rate as a multiple of the deployment's usual one.
+ * @property rateFactor the rate as a multiple of the deployment's usual one; allowances grow with it.
  * @property hasIncidents whether roll-outs, faults and bursts happen.
  */
 public data class GeneratorSettings(
@@ -28,7 +28,10 @@
 
 /** Generates the trace of [deployment] that belongs to the seed of [settings]; the same seed gives the same trace. */
 public fun generateTrace(deployment: Deployment, settings: GeneratorSettings): Trace =
-    TraceGenerator(deployment, settings).generate()
+    TraceGenerator(deployment.withAllowances(settings.rateFactor), settings).generate()
+
+private fun Deployment.withAllowances(factor: Double): Deployment =
+    copy(accounts = accounts.map { it.copy(tokensPerMinute = (it.tokensPerMinute * factor).toLong()) })
 
 private class TraceGenerator(private val deployment: Deployment, private val settings: GeneratorSettings) {
     private val random = Random(settings.seed)
