--- a/operator/src/main/kotlin/io/quetzalfield/operator/ReplayCommand.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ReplayCommand.kt
@@ -81,11 +81,13 @@
         .required()
     private val requests by option("--requests", help = "expected number of requests").int().default(DEFAULT_REQUESTS)
     private val rate by option("--rate", help = "rate as a multiple of the usual").double().default(1.0)
+    private val isFlood by option("--flood", help = "all of the additional rate comes from one account").flag()
     private val isCalm by option("--calm", help = "without roll-outs, faults and bursts").flag()
 
     protected val deployment get() = DeploymentName.valueOf(deploymentLabel.uppercase()).deployment
 
-    protected fun settings(seed: Long) = GeneratorSettings(seed, requests, rate, hasIncidents = !isCalm)
+    protected fun settings(seed: Long) =
+        GeneratorSettings(seed, requests, rate, hasIncidents = !isCalm, isFlood = isFlood)
 }
 
 private class GenerateCommand : GeneratingCommand("generate") {
--- a/replay/src/main/kotlin/io/quetzalfield/replay/Measure.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/Measure.kt
@@ -27,5 +27,10 @@
     LATE("answers after the deadline", 1, { it.lateAnswers.toDouble() }),
     GOODPUT("good answers in time per second", 3, { it.goodput }),
     REFUSED("refused requests", 1, { it.refusals.values.sum().toDouble() }),
+    SECOND_MOST_REFUSED("refused share of the account second in refusals", 4, { secondMostRefusedShare(it) }),
     INTERRUPTED("interrupted requests", 1, { it.interruptions.values.sum().toDouble() }),
 }
+
+/** With one account that floods, this is the largest refused share among those that keep within their fair share. */
+private fun secondMostRefusedShare(measures: ReplayMeasures): Double =
+    measures.refusedShareByAccount.values.sortedDescending().getOrElse(1) { 0.0 }
--- a/replay/src/main/kotlin/io/quetzalfield/replay/Measures.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/Measures.kt
@@ -1,5 +1,6 @@
 package io.quetzalfield.replay
 
+import io.quetzalfield.model.ClientAccountId
 import io.quetzalfield.model.InterruptionReason
 import io.quetzalfield.model.Plan
 import io.quetzalfield.model.PlanId
@@ -23,6 +24,7 @@
  * @property warmWindowsAtTarget the same without the first fifth of the trace.
  * @property badVersionAnswers answers by a version while it was bad.
  * @property lateAnswers answers after their plan's deadline.
+ * @property refusedShareByAccount share of its requests that each account was refused.
  * @property costByTenth cost per accepted answer in each tenth of the trace's duration.
  * @property passShareByTenth share of answers that pass in each tenth.
  * @property goodput answers that pass in time, per second.
@@ -43,6 +45,7 @@
     val escalatedShare: Double,
     val lateAnswers: Int,
     val goodput: Double,
+    val refusedShareByAccount: Map<ClientAccountId, Double>,
     val costByTenth: List<Double>,
     val passShareByTenth: List<Double>,
     val refusals: Map<RefusalReason, Int>,
@@ -71,6 +74,8 @@
     private val tenths = List(TENTHS) { Tally() }
     private val refusals = EnumMap<RefusalReason, Int>(RefusalReason::class.java)
     private val interruptions = EnumMap<InterruptionReason, Int>(InterruptionReason::class.java)
+    private val requestsByAccount = HashMap<ClientAccountId, Int>()
+    private val refusalsByAccount = HashMap<ClientAccountId, Int>()
     private var requests = 0
     private var badVersionAnswers = 0
     private var escalated = 0
@@ -106,8 +111,9 @@
         }
     }
 
-    fun onRequest() {
+    fun onRequest(account: ClientAccountId) {
         requests++
+        requestsByAccount.merge(account, 1, Int::plus)
     }
 
     fun onCost(arrival: Duration, cost: Double) {
@@ -129,7 +135,8 @@
         if (answer.isEscalated) escalated++
     }
 
-    fun onRefusal(reason: RefusalReason) {
+    fun onRefusal(account: ClientAccountId, reason: RefusalReason) {
+        refusalsByAccount.merge(account, 1, Int::plus)
         refusals.merge(reason, 1, Int::plus)
     }
 
@@ -152,6 +159,9 @@
         escalatedShare = escalated.toDouble() / maxOf(all.answers, 1),
         lateAnswers = late,
         goodput = good * MILLISECONDS_PER_SECOND / maxOf(duration, 1),
+        refusedShareByAccount = requestsByAccount.mapValues { (account, count) ->
+            (refusalsByAccount[account] ?: 0).toDouble() / count
+        },
         costByTenth = tenths.map { it.costPerPass() },
         passShareByTenth = tenths.map { it.passShare() },
         refusals = refusals.toMap(),
--- a/replay/src/main/kotlin/io/quetzalfield/replay/Replay.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/Replay.kt
@@ -64,9 +64,12 @@
     }
 
     private fun receive(request: TraceRequest) {
-        measures.onRequest()
-        val account = snapshot.account(request.account) ?: return measures.onRefusal(RefusalReason.UNKNOWN_API_KEY)
-        val plan = snapshot.plan(account.plan) ?: return measures.onRefusal(RefusalReason.NOT_ALLOWED_BY_PLAN)
+        measures.onRequest(request.account)
+        val account =
+            snapshot.account(request.account)
+                ?: return measures.onRefusal(request.account, RefusalReason.UNKNOWN_API_KEY)
+        val plan =
+            snapshot.plan(account.plan) ?: return measures.onRefusal(request.account, RefusalReason.NOT_ALLOWED_BY_PLAN)
         val job = Job(request, plan, loop.now)
         val refusal = route(job) ?: admit(job, account)
         if (refusal == null) execution.start(job) else execution.refuse(job, refusal)
--- a/replay/src/main/kotlin/io/quetzalfield/replay/RequestExecution.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/RequestExecution.kt
@@ -66,7 +66,7 @@
     }
 
     fun refuse(job: Job, refusal: NotRun) {
-        measures.onRefusal(refusal.refusal)
+        measures.onRefusal(job.request.account, refusal.refusal)
         job.onEnd(0)
     }
 
--- a/replay/src/main/kotlin/io/quetzalfield/replay/TraceGenerator.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/TraceGenerator.kt
@@ -18,20 +18,26 @@
  * @property requests expected number of requests.
  * @property rateFactor the rate as a multiple of the deployment's usual one; allowances grow with it.
  * @property hasIncidents whether roll-outs, faults and bursts happen.
+ * @property isFlood whether all of the additional rate comes from the first account, with an allowance that lets it.
  */
 public data class GeneratorSettings(
     val seed: Long,
     val requests: Int = 30_000,
     val rateFactor: Double = 1.0,
     val hasIncidents: Boolean = true,
+    val isFlood: Boolean = false,
 )
 
 /** Generates the trace of [deployment] that belongs to the seed of [settings]; the same seed gives the same trace. */
 public fun generateTrace(deployment: Deployment, settings: GeneratorSettings): Trace =
-    TraceGenerator(deployment.withAllowances(settings.rateFactor), settings).generate()
+    TraceGenerator(deployment.withAllowances(settings), settings).generate()
 
-private fun Deployment.withAllowances(factor: Double): Deployment =
-    copy(accounts = accounts.map { it.copy(tokensPerMinute = (it.tokensPerMinute * factor).toLong()) })
+private fun Deployment.withAllowances(settings: GeneratorSettings): Deployment {
+    val factor = settings.rateFactor * (if (settings.isFlood) FLOOD_ALLOWANCE_FACTOR else 1.0)
+    return copy(accounts = accounts.map { it.copy(tokensPerMinute = (it.tokensPerMinute * factor).toLong()) })
+}
+
+private const val FLOOD_ALLOWANCE_FACTOR = 4.0
 
 private class TraceGenerator(private val deployment: Deployment, private val settings: GeneratorSettings) {
     private val random = Random(settings.seed)
@@ -93,7 +99,7 @@
 
     private fun conversation(start: Double, number: Int): List<TraceRequest> {
         val kind = weighted(deployment.kinds) { it.share }
-        val account = weighted(deployment.accounts) { it.weight }
+        val account = weighted(deployment.accounts, ::requestWeight)
         val isSession = random.nextDouble() < kind.sessionShare
         val count = if (isSession) sessionLength() else 1
         val prefix = if (isSession) random.nextLong() else random.nextLong(SHARED_PREFIXES)
@@ -105,6 +111,12 @@
         }
     }
 
+    /** The account's share of the requests, relative to the usual requests of all accounts. */
+    private fun requestWeight(account: ClientAccount): Double {
+        if (!settings.isFlood || account != deployment.accounts.first()) return account.weight
+        return account.weight + deployment.accounts.sumOf { it.weight } * (settings.rateFactor - 1)
+    }
+
     private fun request(
         time: Double,
         kind: RequestKind,
