--- a/replay/src/main/kotlin/io/quetzalfield/replay/Measure.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/Measure.kt
@@ -23,6 +23,8 @@
     TOTAL_P95("whole answer p95 (ms)", 0, { it.total.p95.toDouble() }),
     TOTAL_P99("whole answer p99 (ms)", 0, { it.total.p99.toDouble() }),
     BAD_VERSION_ANSWERS("answers by a bad version", 1, { it.badVersionAnswers.toDouble() }),
+    BAD_ROLLOUT_ANSWERS("answers by a bad version that is rolled out", 1, { it.badRolloutAnswers.toDouble() }),
+    HEALTHY_STOPS("healthy versions stopped", 2, { it.healthyStops.toDouble() }),
     ESCALATED("share of answers by a second stage", 4, { it.escalatedShare }),
     LATE("answers after the deadline", 1, { it.lateAnswers.toDouble() }),
     GOODPUT("good answers in time per second", 3, { it.goodput }),
--- a/replay/src/main/kotlin/io/quetzalfield/replay/Measures.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/Measures.kt
@@ -23,6 +23,8 @@
  * @property windowsAtTarget share of the windows of 1,000 answers in a row of one plan that meet its quality target.
  * @property warmWindowsAtTarget the same without the first fifth of the trace.
  * @property badVersionAnswers answers by a version while it was bad.
+ * @property badRolloutAnswers those of them by a version that was not in force at the start of the trace.
+ * @property healthyStops versions that the policy stopped and that were never bad.
  * @property lateAnswers answers after their plan's deadline.
  * @property refusedShareByAccount share of its requests that each account was refused.
  * @property costByTenth cost per accepted answer in each tenth of the trace's duration.
@@ -42,6 +44,8 @@
     val firstToken: LatencySummary,
     val total: LatencySummary,
     val badVersionAnswers: Int,
+    val badRolloutAnswers: Int,
+    val healthyStops: Int,
     val escalatedShare: Double,
     val lateAnswers: Int,
     val goodput: Double,
@@ -58,6 +62,7 @@
     val arrival: Duration,
     val passes: Boolean,
     val isByBadVersion: Boolean,
+    val isByNewVersion: Boolean,
     val isEscalated: Boolean,
     val untilFirstToken: Duration,
     val untilEnd: Duration,
@@ -78,6 +83,7 @@
     private val refusalsByAccount = HashMap<ClientAccountId, Int>()
     private var requests = 0
     private var badVersionAnswers = 0
+    private var badRolloutAnswers = 0
     private var escalated = 0
     private var late = 0
     private var good = 0
@@ -132,6 +138,7 @@
         if (isLate) late++
         if (answer.passes && !isLate) good++
         if (answer.isByBadVersion) badVersionAnswers++
+        if (answer.isByBadVersion && answer.isByNewVersion) badRolloutAnswers++
         if (answer.isEscalated) escalated++
     }
 
@@ -144,7 +151,7 @@
         interruptions.merge(reason, 1, Int::plus)
     }
 
-    fun result(): ReplayMeasures = ReplayMeasures(
+    fun result(healthyStops: Int): ReplayMeasures = ReplayMeasures(
         policy = policy,
         requests = requests,
         answers = all.answers,
@@ -156,6 +163,8 @@
         firstToken = summary(firstTokens),
         total = summary(totals),
         badVersionAnswers = badVersionAnswers,
+        badRolloutAnswers = badRolloutAnswers,
+        healthyStops = healthyStops,
         escalatedShare = escalated.toDouble() / maxOf(all.answers, 1),
         lateAnswers = late,
         goodput = good * MILLISECONDS_PER_SECOND / maxOf(duration, 1),
--- a/replay/src/main/kotlin/io/quetzalfield/replay/Replay.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/Replay.kt
@@ -40,7 +40,8 @@
             loop.schedule(event.timeMilliseconds.milliseconds) { take(event) }
         }
         loop.run()
-        return measures.result()
+        val healthyStops = policy.feedback.stoppedVersions() - badVersions.map { it.version }.toSet()
+        return measures.result(healthyStops.size)
     }
 
     private fun take(event: TraceEvent) {
--- a/replay/src/main/kotlin/io/quetzalfield/replay/RequestExecution.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/RequestExecution.kt
@@ -5,6 +5,7 @@
 import io.quetzalfield.decision.RunnerRequest
 import io.quetzalfield.decision.VersionLatency
 import io.quetzalfield.model.InterruptionReason
+import io.quetzalfield.model.ListsSnapshot
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.NotRun
 import io.quetzalfield.model.Plan
@@ -42,6 +43,7 @@
 ) {
     private val domains = trace.header.runners.map { it.failureDomain }.distinct()
     private val costs = costs(trace)
+    private val initialVersions = ListsSnapshot(trace.header.lists)
 
     private class Run(val job: Job, val runner: RunnerId, val sentAt: Duration) {
         lateinit var attempt: Attempt
@@ -130,6 +132,7 @@
         arrival = job.arrival,
         passes = job.outcome.passes,
         isByBadVersion = isBad(job.version, job.request.timeMilliseconds),
+        isByNewVersion = initialVersions.version(job.version) == null,
         isEscalated = job.escalation != null,
         untilFirstToken = (job.firstTokenAt ?: loop.now) - job.arrival,
         untilEnd = loop.now - job.arrival,
--- a/replay/src/main/kotlin/io/quetzalfield/replay/SeedSeries.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/SeedSeries.kt
@@ -2,11 +2,16 @@
 
 import io.quetzalfield.model.RefusalReason
 import kotlinx.serialization.Serializable
+import kotlin.math.ceil
 import kotlin.math.sqrt
 
-/** A mean over seeds, with the half-width of its 95% confidence interval by the normal approximation. */
+/**
+ * A figure over seeds.
+ *
+ * @property halfWidth half-width of the 95% confidence interval of the mean, by the normal approximation.
+ */
 @Serializable
-public data class MeanWithInterval(val mean: Double, val halfWidth: Double)
+public data class SeedStatistics(val mean: Double, val halfWidth: Double, val median: Double, val percentile95: Double)
 
 /**
  * The measures of one policy over one or more traces.
@@ -19,7 +24,7 @@
 public data class PolicySummary(
     val policy: String,
     val seeds: Int,
-    val measures: Map<Measure, MeanWithInterval>,
+    val measures: Map<Measure, SeedStatistics>,
     val costByTenth: List<Double>,
     val passShareByTenth: List<Double>,
     val refusals: Map<RefusalReason, Double>,
@@ -32,7 +37,7 @@
     return PolicySummary(
         policy = runs.first().policy,
         seeds = runs.size,
-        measures = Measure.entries.associateWith { measure -> mean(runs.map(measure.value)) },
+        measures = Measure.entries.associateWith { measure -> statistics(runs.map(measure.value)) },
         costByTenth = meanByIndex(runs.map { it.costByTenth }),
         passShareByTenth = meanByIndex(runs.map { it.passShareByTenth }),
         refusals = reasons.associateWith { reason -> runs.sumOf { it.refusals[reason] ?: 0 }.toDouble() / runs.size },
@@ -58,9 +63,20 @@
 
 private const val NORMAL_QUANTILE_95 = 1.96
 
-private fun mean(values: List<Double>): MeanWithInterval {
+private const val MEDIAN = 0.5
+private const val PERCENTILE_95 = 0.95
+
+private fun statistics(values: List<Double>): SeedStatistics {
     val mean = values.average()
-    if (values.size < 2) return MeanWithInterval(mean, halfWidth = 0.0)
-    val variance = values.sumOf { (it - mean) * (it - mean) } / (values.size - 1)
-    return MeanWithInterval(mean, NORMAL_QUANTILE_95 * sqrt(variance / values.size))
+    val variance = values.sumOf { (it - mean) * (it - mean) } / maxOf(values.size - 1, 1)
+    return SeedStatistics(
+        mean = mean,
+        halfWidth = NORMAL_QUANTILE_95 * sqrt(variance / values.size),
+        median = quantile(values, MEDIAN),
+        percentile95 = quantile(values, PERCENTILE_95),
+    )
 }
+
+/** The least of [values] that at least the [share] of them do not exceed. */
+private fun quantile(values: List<Double>, share: Double): Double =
+    values.sorted()[(ceil(share * values.size).toInt() - 1).coerceAtLeast(0)]
