--- a/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
@@ -65,9 +65,12 @@
         RouteOptions(request, stages, estimates, settings.gateTokens).forEach(best::weigh)
         val chosen = if (exploration.isExploration(request)) explored(request, stages, best) else best.chosen()
         val considered = stages.map { considered(it, chosen, best, request.plan.qualityTarget) }
-        return Route(chosen.stages, considered, chosen.gate).right()
+        return Route(chosen.stages, considered, gateOf(chosen)).right()
     }
 
+    private fun gateOf(option: RouteOption): AcceptanceGate? =
+        option.gateBin?.let { bin -> AcceptanceGate(ScoreBins.lowerEdge(bin), settings.gateTokens) }
+
     /** The cheapest route through some of the [stages] that may reach the target, if it is cheaper than the best. */
     private fun explored(request: RouteRequest, stages: List<Stage>, best: BestOptions): RouteOption {
         val some = BestOptions(request, best.dearest)
@@ -119,11 +122,12 @@
         fun weigh(option: RouteOption) {
             val weight = weightOf(option)
             val windowMargin = windowQuantile * sqrt(option.quality * (1 - option.quality) / settings.windowAnswers)
-            val estimateMargin = estimateQuantile * option.standardError
+            val standardError = option.standardError
+            val estimateMargin = estimateQuantile * standardError
             val combinedMargin = sqrt(windowMargin * windowMargin + estimateMargin * estimateMargin)
             if (option.quality - combinedMargin >= target) certain.offer(option, weight)
             if (option.quality - windowMargin >= target) probable.offer(option, weight)
-            val explorationMargin = explorationQuantile * option.standardError
+            val explorationMargin = explorationQuantile * standardError
             if (option.quality - windowMargin + explorationMargin >= target) possible.offer(option, weight)
             if (option.quality > (highest?.quality ?: -1.0)) highest = option
         }
--- a/decision/src/main/kotlin/io/quetzalfield/decision/RouteOption.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/RouteOption.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.decision
 
 import io.quetzalfield.model.ModelVersionReference
+import kotlin.math.max
 import kotlin.math.min
 import kotlin.math.sqrt
 import kotlin.time.DurationUnit
@@ -8,6 +9,7 @@
 /**
  * A route that is weighed.
  *
+ * @property gateBin the least score bin that is accepted; `null` for a route of one stage.
  * @property cost expected cost of the request, in the operators' currency.
  * @property latencySeconds expected time to the whole answer.
  * @property quality estimated pass rate.
@@ -16,13 +18,13 @@
 internal class RouteOption(
     val first: Stage,
     val second: Stage?,
-    val gate: AcceptanceGate?,
+    val gateBin: Int?,
     val cost: Double,
     val latencySeconds: Double,
     val quality: Double,
     val variance: Double,
 ) {
-    val standardError: Double get() = sqrt(variance)
+    val standardError: Double get() = sqrt(max(variance, 0.0))
 
     val stages: List<ModelVersionReference> get() = listOfNotNull(first.reference, second?.reference)
 }
@@ -73,7 +75,11 @@
                     request.kind,
                     second.prior,
                 )
-                for (bin in 1 until ScoreBins.COUNT) action(cascade(first, second, escalated, bin))
+                val sums = CascadeSums(first.profile, escalated)
+                for (gateBin in 1 until ScoreBins.COUNT) {
+                    sums.reject(gateBin - 1)
+                    action(cascade(first, second, gateBin, sums))
+                }
             }
         }
     }
@@ -84,7 +90,7 @@
     fun single(stage: Stage): RouteOption = RouteOption(
         first = stage,
         second = null,
-        gate = null,
+        gateBin = null,
         cost = stage.cost(tokens),
         latencySeconds = stage.seconds(tokens),
         quality = stage.profile.passRate,
@@ -92,29 +98,38 @@
     )
 
     /** The cascade that accepts answers of [first] whose score falls into [gateBin] or a higher bin. */
-    fun cascade(first: Stage, second: Stage, escalated: ScoreProfile, gateBin: Int): RouteOption {
-        var rejectedShare = 0.0
-        var quality = 0.0
-        var variance = 0.0
-        for (bin in 0 until ScoreBins.COUNT) {
-            val frequency = first.profile.frequencies[bin]
-            val source = if (bin < gateBin) escalated else first.profile
-            if (bin < gateBin) rejectedShare += frequency
-            quality += frequency * source.passRates[bin]
-            variance += frequency * frequency * source.variances[bin]
-        }
+    fun cascade(first: Stage, second: Stage, gateBin: Int, sums: CascadeSums): RouteOption {
+        val rejectedShare = sums.rejectedShare
         val acceptedShare = 1 - rejectedShare
         return RouteOption(
             first = first,
             second = second,
-            gate = AcceptanceGate(ScoreBins.lowerEdge(gateBin), gateTokens),
+            gateBin = gateBin,
             cost = acceptedShare * first.cost(
                 tokens,
             ) + rejectedShare * (first.cost(tokensAtGate) + second.cost(tokens)),
             latencySeconds = acceptedShare * first.seconds(tokens) +
                 rejectedShare * (first.seconds(tokensAtGate) + second.seconds(tokens)),
-            quality = quality,
-            variance = variance,
+            quality = sums.quality,
+            variance = sums.variance,
         )
     }
 }
+
+/** The pass rate of a cascade and its variance, as the gate moves up from accepting every answer. */
+internal class CascadeSums(private val first: ScoreProfile, private val escalated: ScoreProfile) {
+    var rejectedShare = 0.0
+        private set
+    var quality = first.passRate
+        private set
+    var variance = first.variance
+        private set
+
+    /** Leaves the answers in [bin] to the second stage. */
+    fun reject(bin: Int) {
+        val frequency = first.frequencies[bin]
+        rejectedShare += frequency
+        quality += frequency * (escalated.passRates[bin] - first.passRates[bin])
+        variance += frequency * frequency * (escalated.variances[bin] - first.variances[bin])
+    }
+}
