Keep profiles until evidence changes, and weigh roll-outs in cascades by the version before

Change: cells keep their profile until a rating, a score or a fade changes it; costs and times of a stage are computed once per decision; pairs use the evidence of the versions before, too.

--- a/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
@@ -6,6 +6,7 @@
 import io.quetzalfield.model.ListsSnapshot
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.NotRun
+import kotlin.math.min
 import kotlin.math.sqrt
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -61,8 +62,8 @@
         val eligible = eligibleVersions(request, snapshot, excluded)
         if (eligible.isEmpty()) return noEligibleVersion(request).left()
         val stages = eligible.map { stage(it, request, snapshot) }
-        val best = BestOptions(request, dearest = stages.maxOf { it.cost(request.expectedTokens) })
-        RouteOptions(request, stages, estimates, settings.gateTokens).forEach(best::weigh)
+        val best = BestOptions(request, dearest = stages.maxOf { it.cost })
+        RouteOptions(request, stages, estimates).forEach(best::weigh)
         val chosen = if (exploration.isExploration(request)) explored(request, stages, best) else best.chosen()
         val considered = stages.map { considered(it, chosen, best, request.plan.qualityTarget) }
         return Route(chosen.stages, considered, gateOf(chosen)).right()
@@ -74,7 +75,7 @@
     /** The cheapest route through some of the [stages] that may reach the target, if it is cheaper than the best. */
     private fun explored(request: RouteRequest, stages: List<Stage>, best: BestOptions): RouteOption {
         val some = BestOptions(request, best.dearest)
-        RouteOptions(request, exploration.someOf(stages), estimates, settings.gateTokens).forEach(some::weigh)
+        RouteOptions(request, exploration.someOf(stages), estimates).forEach(some::weigh)
         val usual = best.chosen()
         val candidate = some.possible() ?: return usual
         return if (some.weightOf(candidate) < best.weightOf(usual)) candidate else usual
@@ -83,7 +84,15 @@
     private fun stage(eligible: EligibleVersion, request: RouteRequest, snapshot: ListsSnapshot): Stage {
         val source = evidenceSource(eligible, snapshot)
         val profile = estimates.profile(source, request.kind, eligible.version.priorQuality)
-        return Stage(eligible, source, profile, latencies.estimate(source))
+        return Stage(
+            reference = eligible.reference,
+            version = eligible.version,
+            evidenceSource = source,
+            profile = profile,
+            latency = latencies.estimate(source),
+            tokens = request.expectedTokens,
+            tokensAtGate = min(settings.gateTokens, request.expectedTokens),
+        )
     }
 
     /**
@@ -104,7 +113,7 @@
             quality < target -> "estimated quality is below the target of $target"
             else -> "costs more, in cost, latency and exposure, than ${chosen.stages.joinToString(" then ")}"
         }
-        return ConsideredVersion(stage.reference, quality, stage.costPerThousandTokens, reason)
+        return ConsideredVersion(stage.reference, quality, stage.version.costPerThousandTokens, reason)
     }
 
     /** The best option by each of the criteria that [choose] falls back on, in one pass over the options. */
--- a/decision/src/main/kotlin/io/quetzalfield/decision/PassRateCell.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/PassRateCell.kt
@@ -32,13 +32,22 @@
 
     /** The pass rate assumed without ratings, as last given by a reader. */
     var prior: Double = DEFAULT_PRIOR
+        set(value) {
+            if (field != value) cachedProfile = null
+            field = value
+        }
+
+    /** The profile as long as nothing changes; there are many decisions for each rating. */
+    private var cachedProfile: ScoreProfile? = null
 
     fun recordScore(score: Double) {
+        cachedProfile = null
         scale(scores, retentionPerRating)
         scores[ScoreBins.binOf(score)] += 1.0
     }
 
     fun recordRating(score: Double?, passed: Boolean) {
+        cachedProfile = null
         ratings.scale(retentionPerRating)
         if (score == null) {
             spread(passed)
@@ -61,7 +70,9 @@
         return frequencies.indices.sumOf { frequencies[it] * rate(evidence, it) }
     }
 
-    fun profile(): ScoreProfile {
+    fun profile(): ScoreProfile = cachedProfile ?: newProfile().also { cachedProfile = it }
+
+    private fun newProfile(): ScoreProfile {
         val rates = DoubleArray(ScoreBins.COUNT) { bin -> rate(ratings, bin) }
         val variances = DoubleArray(ScoreBins.COUNT) { bin ->
             rates[bin] * (1 - rates[bin]) / (weight(ratings, bin) + 1)
@@ -76,12 +87,14 @@
 
     /** Sets the ratings from before the suspected fall aside. */
     fun forgetBeforeFall() {
+        cachedProfile = null
         if (beforeFall == null) beforeFall = ratings
         ratings = recent.copy()
     }
 
     /** Takes the ratings from before the fall back, as the rate has risen to what they say. */
     fun restoreBeforeFall() {
+        cachedProfile = null
         ratings = beforeFall ?: return
         beforeFall = null
     }
@@ -93,6 +106,7 @@
 
     /** Makes the ratings since a fall count less. */
     fun fade(factor: Double) {
+        cachedProfile = null
         if (beforeFall != null) ratings.scale(factor)
     }
 
--- a/decision/src/main/kotlin/io/quetzalfield/decision/RouteOption.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/RouteOption.kt
@@ -1,8 +1,8 @@
 package io.quetzalfield.decision
 
+import io.quetzalfield.model.ModelVersion
 import io.quetzalfield.model.ModelVersionReference
 import kotlin.math.max
-import kotlin.math.min
 import kotlin.math.sqrt
 import kotlin.time.DurationUnit
 
@@ -30,23 +30,27 @@
 }
 
 /**
- * A version as a stage of a route.
+ * A version as a stage of a route for one request.
  *
- * @property evidenceSource the version whose answers [profile] and [latency] were learnt from.
+ * @property evidenceSource the version whose answers [profile] was learnt from.
+ * @property cost cost of the whole answer.
+ * @property gateCost cost of an answer that is cancelled at the gate.
+ * @property seconds expected time to the whole answer.
+ * @property gateSeconds expected time to the gate.
  */
 internal class Stage(
-    eligible: EligibleVersion,
+    val reference: ModelVersionReference,
+    val version: ModelVersion,
     val evidenceSource: ModelVersionReference,
     val profile: ScoreProfile,
-    val latency: VersionLatency,
+    latency: VersionLatency,
+    tokens: Int,
+    tokensAtGate: Int,
 ) {
-    val reference: ModelVersionReference = eligible.reference
-    val prior: Double = eligible.version.priorQuality
-    val costPerThousandTokens: Double = eligible.version.costPerThousandTokens
-
-    fun cost(tokens: Int): Double = costPerThousandTokens * tokens / TOKENS_PER_PRICE
-
-    fun seconds(tokens: Int): Double = latency.until(tokens).toDouble(DurationUnit.SECONDS)
+    val cost: Double = version.costPerThousandTokens * tokens / TOKENS_PER_PRICE
+    val gateCost: Double = version.costPerThousandTokens * tokensAtGate / TOKENS_PER_PRICE
+    val seconds: Double = latency.until(tokens).toDouble(DurationUnit.SECONDS)
+    val gateSeconds: Double = latency.until(tokensAtGate).toDouble(DurationUnit.SECONDS)
 
     private companion object {
         const val TOKENS_PER_PRICE = 1_000
@@ -58,23 +62,14 @@
     private val request: RouteRequest,
     private val stages: List<Stage>,
     private val estimates: CascadeEstimates,
-    private val gateTokens: Int,
 ) {
-    private val tokens = request.expectedTokens
-    private val tokensAtGate = min(gateTokens, tokens)
-
     inline fun forEach(action: (RouteOption) -> Unit) {
         stages.forEach { action(single(it)) }
         if (request.maximumStages < 2) return
         for (first in stages) {
             for (second in stages) {
-                if (first.costPerThousandTokens >= second.costPerThousandTokens) continue
-                val escalated = estimates.escalatedProfile(
-                    first.reference,
-                    second.reference,
-                    request.kind,
-                    second.prior,
-                )
+                if (first.cost >= second.cost) continue
+                val escalated = escalatedProfile(first, second)
                 val sums = CascadeSums(first.profile, escalated)
                 for (gateBin in 1 until ScoreBins.COUNT) {
                     sums.reject(gateBin - 1)
@@ -84,15 +79,19 @@
         }
     }
 
-    fun escalatedProfile(first: Stage, second: Stage): ScoreProfile =
-        estimates.escalatedProfile(first.evidenceSource, second.evidenceSource, request.kind, second.prior)
+    fun escalatedProfile(first: Stage, second: Stage): ScoreProfile = estimates.escalatedProfile(
+        first.evidenceSource,
+        second.evidenceSource,
+        request.kind,
+        second.version.priorQuality,
+    )
 
     fun single(stage: Stage): RouteOption = RouteOption(
         first = stage,
         second = null,
         gateBin = null,
-        cost = stage.cost(tokens),
-        latencySeconds = stage.seconds(tokens),
+        cost = stage.cost,
+        latencySeconds = stage.seconds,
         quality = stage.profile.passRate,
         variance = stage.profile.variance,
     )
@@ -105,11 +104,8 @@
             first = first,
             second = second,
             gateBin = gateBin,
-            cost = acceptedShare * first.cost(
-                tokens,
-            ) + rejectedShare * (first.cost(tokensAtGate) + second.cost(tokens)),
-            latencySeconds = acceptedShare * first.seconds(tokens) +
-                rejectedShare * (first.seconds(tokensAtGate) + second.seconds(tokens)),
+            cost = acceptedShare * first.cost + rejectedShare * (first.gateCost + second.cost),
+            latencySeconds = acceptedShare * first.seconds + rejectedShare * (first.gateSeconds + second.seconds),
             quality = sums.quality,
             variance = sums.variance,
         )
--- a/decision/src/main/kotlin/io/quetzalfield/decision/ScoreProfile.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/ScoreProfile.kt
@@ -28,11 +28,11 @@
     public val variances: DoubleArray,
 ) {
     /** The estimated pass rate over all scores. */
-    public val passRate: Double get() = frequencies.indices.sumOf { frequencies[it] * passRates[it] }
+    public val passRate: Double = frequencies.indices.sumOf { frequencies[it] * passRates[it] }
 
     /** The variance of the estimate [passRate]. */
-    public val variance: Double
-        get() = frequencies.indices.sumOf { frequencies[it] * frequencies[it] * variances[it] }
+    public val variance: Double =
+        frequencies.indices.sumOf { frequencies[it] * frequencies[it] * variances[it] }
 }
 
 /** Estimates from which routes of one or two stages are weighed. */
