--- a/decision/src/main/kotlin/io/quetzalfield/decision/RouteOption.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/RouteOption.kt
@@ -1,13 +1,15 @@
 package io.quetzalfield.decision
 
+import io.quetzalfield.model.ModelVersion
 import io.quetzalfield.model.ModelVersionReference
-import kotlin.math.min
+import kotlin.math.max
 import kotlin.math.sqrt
 import kotlin.time.DurationUnit
 
 /**
  * A route that is weighed.
  *
+ * @property gateBin the least score bin that is accepted; `null` for a route of one stage.
  * @property cost expected cost of the request, in the operators' currency.
  * @property latencySeconds expected time to the whole answer.
  * @property quality estimated pass rate.
@@ -16,35 +18,39 @@
 internal class RouteOption(
     val first: Stage,
     val second: Stage?,
-    val gate: AcceptanceGate?,
+    val gateBin: Int?,
     val cost: Double,
     val latencySeconds: Double,
     val quality: Double,
     val variance: Double,
 ) {
-    val standardError: Double get() = sqrt(variance)
+    val standardError: Double get() = sqrt(max(variance, 0.0))
 
     val stages: List<ModelVersionReference> get() = listOfNotNull(first.reference, second?.reference)
 }
 
 /**
- * A version as a stage of a route.
+ * A version as a stage of a route for one request.
  *
- * @property evidenceSource the version whose answers [profile] and [latency] were learnt from.
+ * @property evidenceSource the version whose answers [profile] was learnt from.
+ * @property cost cost of the whole answer.
+ * @property gateCost cost of an answer that is cancelled at the gate.
+ * @property seconds expected time to the whole answer.
+ * @property gateSeconds expected time to the gate.
  */
 internal class Stage(
-    eligible: EligibleVersion,
+    val reference: ModelVersionReference,
+    val version: ModelVersion,
     val evidenceSource: ModelVersionReference,
     val profile: ScoreProfile,
-    val latency: VersionLatency,
+    latency: VersionLatency,
+    tokens: Int,
+    tokensAtGate: Int,
 ) {
-    val reference: ModelVersionReference = eligible.reference
-    val prior: Double = eligible.version.priorQuality
-    val costPerThousandTokens: Double = eligible.version.costPerThousandTokens
-
-    fun cost(tokens: Int): Double = costPerThousandTokens * tokens / TOKENS_PER_PRICE
-
-    fun seconds(tokens: Int): Double = latency.until(tokens).toDouble(DurationUnit.SECONDS)
+    val cost: Double = version.costPerThousandTokens * tokens / TOKENS_PER_PRICE
+    val gateCost: Double = version.costPerThousandTokens * tokensAtGate / TOKENS_PER_PRICE
+    val seconds: Double = latency.until(tokens).toDouble(DurationUnit.SECONDS)
+    val gateSeconds: Double = latency.until(tokensAtGate).toDouble(DurationUnit.SECONDS)
 
     private companion object {
         const val TOKENS_PER_PRICE = 1_000
@@ -56,65 +62,70 @@
     private val request: RouteRequest,
     private val stages: List<Stage>,
     private val estimates: CascadeEstimates,
-    private val gateTokens: Int,
 ) {
-    private val tokens = request.expectedTokens
-    private val tokensAtGate = min(gateTokens, tokens)
-
     inline fun forEach(action: (RouteOption) -> Unit) {
         stages.forEach { action(single(it)) }
         if (request.maximumStages < 2) return
         for (first in stages) {
             for (second in stages) {
-                if (first.costPerThousandTokens >= second.costPerThousandTokens) continue
-                val escalated = estimates.escalatedProfile(
-                    first.reference,
-                    second.reference,
-                    request.kind,
-                    second.prior,
-                )
-                for (bin in 1 until ScoreBins.COUNT) action(cascade(first, second, escalated, bin))
+                if (first.cost >= second.cost) continue
+                val escalated = escalatedProfile(first, second)
+                val sums = CascadeSums(first.profile, escalated)
+                for (gateBin in 1 until ScoreBins.COUNT) {
+                    sums.reject(gateBin - 1)
+                    action(cascade(first, second, gateBin, sums))
+                }
             }
         }
     }
 
-    fun escalatedProfile(first: Stage, second: Stage): ScoreProfile =
-        estimates.escalatedProfile(first.evidenceSource, second.evidenceSource, request.kind, second.prior)
+    fun escalatedProfile(first: Stage, second: Stage): ScoreProfile = estimates.escalatedProfile(
+        first.evidenceSource,
+        second.evidenceSource,
+        request.kind,
+        second.version.priorQuality,
+    )
 
     fun single(stage: Stage): RouteOption = RouteOption(
         first = stage,
         second = null,
-        gate = null,
-        cost = stage.cost(tokens),
-        latencySeconds = stage.seconds(tokens),
+        gateBin = null,
+        cost = stage.cost,
+        latencySeconds = stage.seconds,
         quality = stage.profile.passRate,
         variance = stage.profile.variance,
     )
 
     /** The cascade that accepts answers of [first] whose score falls into [gateBin] or a higher bin. */
-    fun cascade(first: Stage, second: Stage, escalated: ScoreProfile, gateBin: Int): RouteOption {
-        var rejectedShare = 0.0
-        var quality = 0.0
-        var variance = 0.0
-        for (bin in 0 until ScoreBins.COUNT) {
-            val frequency = first.profile.frequencies[bin]
-            val source = if (bin < gateBin) escalated else first.profile
-            if (bin < gateBin) rejectedShare += frequency
-            quality += frequency * source.passRates[bin]
-            variance += frequency * frequency * source.variances[bin]
-        }
+    fun cascade(first: Stage, second: Stage, gateBin: Int, sums: CascadeSums): RouteOption {
+        val rejectedShare = sums.rejectedShare
         val acceptedShare = 1 - rejectedShare
         return RouteOption(
             first = first,
             second = second,
-            gate = AcceptanceGate(ScoreBins.lowerEdge(gateBin), gateTokens),
-            cost = acceptedShare * first.cost(
-                tokens,
-            ) + rejectedShare * (first.cost(tokensAtGate) + second.cost(tokens)),
-            latencySeconds = acceptedShare * first.seconds(tokens) +
-                rejectedShare * (first.seconds(tokensAtGate) + second.seconds(tokens)),
-            quality = quality,
-            variance = variance,
+            gateBin = gateBin,
+            cost = acceptedShare * first.cost + rejectedShare * (first.gateCost + second.cost),
+            latencySeconds = acceptedShare * first.seconds + rejectedShare * (first.gateSeconds + second.seconds),
+            quality = sums.quality,
+            variance = sums.variance,
         )
     }
 }
+
+/** The pass rate of a cascade and its variance, as the gate moves up from accepting every answer. */
+internal class CascadeSums(private val first: ScoreProfile, private val escalated: ScoreProfile) {
+    var rejectedShare = 0.0
+        private set
+    var quality = first.passRate
+        private set
+    var variance = first.variance
+        private set
+
+    /** Leaves the answers in [bin] to the second stage. */
+    fun reject(bin: Int) {
+        val frequency = first.frequencies[bin]
+        rejectedShare += frequency
+        quality += frequency * (escalated.passRates[bin] - first.passRates[bin])
+        variance += frequency * frequency * (escalated.variances[bin] - first.variances[bin])
+    }
+}
