Let large fleets store their bills less often

Cause: every entry writes its bill cell once a second, which is 1,400 writes a second at the size to build towards; the key-value service takes several hundred. Ruled out: one value for a failure domain (needs a writer that may die). Change: the period grows with the number of entries so that all of them make 100 writes a second at the most. Before: 1,400 writes a second at 1,400 entries, by the settings.

--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -5,6 +5,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.decision.CascadeSettings
 import io.quetzalfield.decision.LearningRouting
+import io.quetzalfield.decision.storeWritePeriod
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
@@ -31,6 +32,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /** An entry that runs: it answers callers and peers until it is closed. */
 public class EntryProgram(
@@ -143,6 +145,8 @@
     /** The metrics that the entry exposes. */
     internal val registry: PrometheusRegistry get() = metrics.registry
 
+    private var lastFlush = TimeSource.Monotonic.markNow()
+
     init {
         registerEntryGauges(registry, gate, lists)
         fleet.refresh()
@@ -153,7 +157,7 @@
         }
         scheduler.every(settings.listRefresh, distribution::refresh)
         scheduler.every(settings.loadRefresh, loads::refresh)
-        scheduler.every(settings.billFlush, ledger::flush)
+        scheduler.every(settings.billFlush, ::flushBills)
         control.start()
         scheduler.every(settings.demandReport, demandReporter::report)
         logger.info("entry {} serves callers at {} and peers at {}", incarnation, callerAddress, peerAddress)
@@ -173,6 +177,13 @@
     private val peerAddress: String
         get() = "${HostPort.parse(settings.peerAddress)?.host}:${peerServer.port}"
 
+    /** Stores the bills, as often as the store takes it from a fleet of this size. */
+    private fun flushBills() {
+        if (lastFlush.elapsedNow() < storeWritePeriod(settings.billFlush, writers = fleet.entries.size)) return
+        lastFlush = TimeSource.Monotonic.markNow()
+        ledger.flush()
+    }
+
     private fun startCallerServer(): Javalin {
         val address = requireNotNull(HostPort.parse(settings.callerAddress)) { "checked with the settings" }
         return startHttpServer(address.host, address.port, STOP_TIMEOUT, settings.largestBodyBytes) {
