--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryMetrics.kt
@@ -4,6 +4,8 @@
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.quetzalfield.model.InterruptionReason
+import io.quetzalfield.model.RefusalReason
 import io.quetzalfield.model.RequestFailure
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -51,6 +53,17 @@
         .help("Time from the request to the end of the answer")
         .register(registry)
 
+    private val bills = Counter.builder()
+        .name("quetzalfield_bills_total")
+        .help("Bills, by what their witness answered")
+        .labelNames("witness")
+        .register(registry)
+    private val forwards = Counter.builder()
+        .name("quetzalfield_forwards_total")
+        .help("Requests whose home is another entry, by what came of the forwarding")
+        .labelNames("outcome")
+        .register(registry)
+
     private val refusedRetries = Counter.builder()
         .name("quetzalfield_retries_refused_total")
         .help("Failed attempts that were not followed by another, by reason")
@@ -82,6 +95,24 @@
         .labelNames("origin")
         .register(registry)
 
+    init {
+        // Every reason shows from the start, so that an alarm on a rate sees the first one.
+        RefusalReason.entries.forEach { failures.initLabelValues(it.code) }
+        InterruptionReason.entries.forEach { failures.initLabelValues(it.code) }
+        RetryReason.entries.forEach { retries.initLabelValues(it.label) }
+        WitnessOutcome.entries.forEach { bills.initLabelValues(it.label) }
+        RetryObstacle.entries.forEach { refusedRetries.initLabelValues(it.label) }
+        ForwardOutcome.entries.forEach { forwards.initLabelValues(it.label) }
+    }
+
+    public fun countBill(outcome: WitnessOutcome) {
+        bills.labelValues(outcome.label).inc()
+    }
+
+    public fun countForward(outcome: ForwardOutcome) {
+        forwards.labelValues(outcome.label).inc()
+    }
+
     public fun countRetryRefused(obstacle: RetryObstacle) {
         refusedRetries.labelValues(obstacle.label).inc()
     }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -1,11 +1,13 @@
 package io.quetzalfield.entry
 
 import io.javalin.Javalin
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.decision.CheapestSufficientRouteChooser
 import io.quetzalfield.decision.RolloutRouteChooser
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.model.ListsRevision
 import io.quetzalfield.peer.PeerClients
 import io.quetzalfield.peer.PeerServer
 import io.quetzalfield.platform.EtcdGatewayKeyValueStore
@@ -38,44 +40,96 @@
     private val client = newClient()
     private val metrics = EntryMetrics()
     private val lists = ListsHolder()
-    private val fleet = FleetView(directory)
-    private val loads = RunnerLoadTracker(settings.instance, fleet, client)
-    private val ledger = BillLedger(incarnation, store)
+    private val ages = StateAges().also { it.register(metrics.registry) }
+    private val sessions = SessionCounts(metrics.registry)
+    private val journal = BoundedRequestJournal()
+    private val fleet = FleetView(directory, ages)
+    private val loads = RunnerLoadTracker(settings.instance, fleet, client, ages)
     private val gate = ShutdownGate()
     private val peers = PeerClients()
+    private val scheduler = newScheduler("entry")
+    private val billedKeys = BilledKeys()
+    private val ledger = BillLedger(
+        process = incarnation,
+        store = store,
+        witness = PeerBillWitness(settings.instance, settings.failureDomain, fleet, peers),
+        billedKeys = billedKeys,
+        observer = metrics::countBill,
+    )
+    private val distribution = ListsDistribution(
+        incarnation = incarnation,
+        ownFailureDomain = settings.failureDomain,
+        lists = lists,
+        currency = ListsCurrency(settings.listsStaleAfter),
+        fleet = fleet,
+        peers = peers,
+        store = store,
+        ages = ages,
+    )
     private val control = EntryControl(incarnation, lists, fleet, loads, peers, metrics, ratingService)
-    private val peerServer = startPeerServer()
-    private val distribution = ListsDistribution(incarnation, lists, fleet, peers, store)
+    private val decisionLists = CurrentLists(lists, distribution::isCurrent)
     private val completions = CompletionService(
         routeChooser = RolloutRouteChooser(CheapestSufficientRouteChooser()),
         admission = control.admission,
-        attempts = control.attempts(settings.failureDomain, RunnerClient(client)),
+        attempts = control.attempts(settings.failureDomain, RunnerClient(client), journal),
         rollouts = control.rollouts,
         answers = control.answers,
         ledger = ledger,
         metrics = metrics,
+        journal = journal,
+    )
+    private val services = ServiceCallService(incarnation, ServiceClient(fleet, client), store)
+    private val sessionTokens = SignedTokens("session", SessionPin.serializer())
+    private val ticketTokens = SignedTokens("ticket", Ticket.serializer())
+    private val requests = CallerRequests(
+        reader = CompletionReader(sessionTokens),
+        completions = KeyedCompletions(completions),
+        services = services,
+        ticketTokens = ticketTokens,
+        forwarder = Forwarder(incarnation, fleet, peers, scheduler, metrics),
+        metrics = metrics,
     )
     private val callerApi = CallerApi(
-        lists = lists,
+        lists = decisionLists,
         fleet = fleet,
         completions = completions,
-        services = ServiceCallService(incarnation, fleet, client),
+        services = services,
+        requests = requests,
+        sessionTokens = sessionTokens,
+        ticketTokens = ticketTokens,
         addressValidity = settings.addressValidity,
         metrics = metrics,
         gate = gate,
+        sessions = sessions,
+    )
+    private val status = EntryStatus(
+        incarnation = incarnation,
+        lists = lists,
+        journal = journal,
+        sections = listOf(
+            agesSection(ages),
+            requestsSection(gate),
+            versionsSection(lists),
+            sessionsSection(sessions),
+            billsSection(lists, ledger),
+        ),
     )
+    private val peerServer = startPeerServer()
     private val server: Javalin = startCallerServer()
-    private val scheduler = newScheduler("entry")
+    private val operatorServer: Javalin = startOperatorServer()
+
+    /** The metrics that the entry exposes. */
+    internal val registry: PrometheusRegistry get() = metrics.registry
 
     init {
+        registerEntryGauges(registry, gate, lists)
         fleet.refresh()
         announce(isLeaving = false)
-        distribution.start()
         scheduler.every(settings.listRefresh) {
             fleet.refresh()
             announce(isLeaving = gate.isClosed)
         }
-        scheduler.every(settings.listRefresh, distribution::exchangeWithPeers)
+        scheduler.every(settings.listRefresh, distribution::refresh)
         scheduler.every(settings.loadRefresh, loads::refresh)
         scheduler.every(settings.billFlush, ledger::flush)
         control.start()
@@ -86,6 +140,13 @@
     public val callerAddress: String
         get() = "http://${HostPort.parse(settings.callerAddress)?.host}:${server.port()}"
 
+    /** The revision of the lists in force. */
+    public val listsRevision: ListsRevision get() = lists.revision
+
+    /** The address at which operators are answered. */
+    public val operatorAddress: String
+        get() = "http://${HostPort.parse(settings.operatorAddress)?.host}:${operatorServer.port()}"
+
     private val peerAddress: String
         get() = "${HostPort.parse(settings.peerAddress)?.host}:${peerServer.port}"
 
@@ -97,9 +158,26 @@
         }
     }
 
+    private fun startOperatorServer(): Javalin {
+        val address = requireNotNull(HostPort.parse(settings.operatorAddress)) { "checked with the settings" }
+        return startHttpServer(
+            host = address.host,
+            port = address.port,
+            threads = OPERATOR_THREADS,
+            routes = OperatorApi(status, metrics)::addRoutes,
+        )
+    }
+
     private fun startPeerServer(): PeerServer {
         val address = requireNotNull(HostPort.parse(settings.peerAddress)) { "checked with the settings" }
-        return PeerServer(address.host, address.port, EntryPeerService(lists, control))
+        val peerService = EntryPeerService(
+            lists = lists,
+            witnessedBills = WitnessedBills(billedKeys),
+            forwarded = ForwardedRequests(decisionLists, gate, requests),
+            control = control,
+            onNewLists = distribution::spread,
+        )
+        return PeerServer(address.host, address.port, peerService)
     }
 
     private fun announce(isLeaving: Boolean) {
@@ -112,6 +190,7 @@
                 peerAddress = peerAddress,
                 isLeaving = isLeaving,
                 start = incarnation.start,
+                operatorAddress = operatorAddress,
             ),
         )
     }
@@ -132,12 +211,14 @@
         control.close()
         directory.remove(settings.instance)
         server.stop()
+        operatorServer.stop()
         peerServer.close()
         peers.close()
         logger.info("entry {} has stopped, {}", incarnation, if (isDrained) "drained" else "with requests running")
     }
 
     private companion object {
+        const val OPERATOR_THREADS = 32
         const val LARGEST_CONCURRENCY = 4_096
         const val IDLE_CONNECTIONS = 256
         const val KEEP_ALIVE_MINUTES = 5L
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RunnerLoadTracker.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RunnerLoadTracker.kt
@@ -29,6 +29,7 @@
     private val own: InstanceId,
     private val fleet: FleetView,
     client: OkHttpClient,
+    private val ages: StateAges = StateAges(),
     private val caches: PrefixCacheTracker = PrefixCacheTracker(),
     private val subsetSize: Int = DEFAULT_SUBSET_SIZE,
 ) {
@@ -83,6 +84,7 @@
     /** Asks every runner that this entry follows for its load, and now and then for its cache events. */
     public fun refresh() {
         followed = subset(fleet.runners)
+        ages.keepReportsOf(followed.map { it.id.toRunnerId() }.toSet())
         refreshes++
         followed.forEach(::refresh)
         if (refreshes % CACHE_EVENT_PERIOD == 0) followed.forEach(::refreshCache)
@@ -134,6 +136,7 @@
         load.versions = report.versions.toSet()
         load.report = report
         load.isReachable = true
+        ages.confirm(HeldState.LoadReport(runner.id.toRunnerId()))
         if (report.isLeaving) fleet.markLeaving(runner.id)
     }
 
--- a/entry/src/test/kotlin/io/quetzalfield/entry/EntryControlPeersTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/EntryControlPeersTest.kt
@@ -15,8 +15,6 @@
 import io.quetzalfield.peer.wire.FingerprintList
 import io.quetzalfield.peer.wire.ObservationsReply
 import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
-import io.quetzalfield.platform.fakes.InMemoryRatingService
-import okhttp3.OkHttpClient
 import kotlin.test.AfterTest
 import kotlin.test.BeforeTest
 import kotlin.test.Test
@@ -28,16 +26,8 @@
     val fleet = FleetView(directory)
     val peers = PeerClients()
     val lists = ListsHolder().apply { adopt(listsWith(revision = 1, newShare = 0.1)) }
-    val control = EntryControl(
-        incarnation = incarnation,
-        lists = lists,
-        fleet = fleet,
-        loads = RunnerLoadTracker(incarnation.instance, fleet, OkHttpClient()),
-        peers = peers,
-        metrics = EntryMetrics(),
-        ratingService = InMemoryRatingService(),
-    )
-    private val server = PeerServer("127.0.0.1", 0, EntryPeerService(lists, control))
+    val control = controlOf(incarnation, lists, fleet, peers)
+    private val server = PeerServer("127.0.0.1", 0, peerServiceOf(lists, control))
 
     fun announce() {
         directory.announce(
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -2,21 +2,33 @@
 
 import io.javalin.Javalin
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.quetzalfield.decision.HomeScope
+import io.quetzalfield.decision.homeOrder
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
 import io.quetzalfield.peer.PeerClients
 import io.quetzalfield.platform.DutyLease
+import io.quetzalfield.platform.DutyRoster
 import io.quetzalfield.platform.EtcdGatewayKeyValueStore
 import io.quetzalfield.platform.HttpInstanceDirectory
 import io.quetzalfield.platform.InstanceDirectory
 import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.steward.bills.BillDuty
+import io.quetzalfield.steward.bills.BillFolding
+import io.quetzalfield.steward.bills.EndedIncarnations
+import io.quetzalfield.steward.bills.FoldedCells
+import io.quetzalfield.steward.bills.PeerBillWitnesses
 import io.quetzalfield.steward.rollouts.PeerRolloutEntries
 import io.quetzalfield.steward.rollouts.RolloutDuty
 import io.quetzalfield.support.HostPort
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
 import io.quetzalfield.support.startHttpServer
+import io.quetzalfield.support.status.DaemonStatus
+import io.quetzalfield.support.status.StatusSection
+import io.quetzalfield.support.status.addStatusRoutes
+import io.quetzalfield.support.status.readAll
 import io.quetzalfield.support.writeMetrics
 import org.apache.logging.log4j.LogManager
 import java.util.UUID
@@ -24,64 +36,90 @@
 /** A steward that runs: it holds duties under leases until it is closed. */
 public class StewardProgram(
     private val settings: StewardSettings,
-    store: KeyValueStore = EtcdGatewayKeyValueStore(settings.platformAddress),
+    private val store: KeyValueStore = EtcdGatewayKeyValueStore(settings.platformAddress),
     private val directory: InstanceDirectory = HttpInstanceDirectory(settings.platformAddress),
 ) : AutoCloseable {
     private val incarnation = Incarnation(settings.instance, UUID.randomUUID().toString())
-    private val registry = PrometheusRegistry()
-    private val lease = DutyLease(
-        store = store,
-        name = "steward",
-        holder = incarnation,
-        timeToLive = settings.leaseTimeToLive,
-        margin = settings.leaseMargin,
-    )
     private val peers = PeerClients()
-    private val rolloutLease = DutyLease(
-        store = store,
-        name = "rollouts",
-        holder = incarnation,
-        timeToLive = settings.leaseTimeToLive,
-        margin = settings.leaseMargin,
-    )
-    private val rollouts = RolloutDuty(store, PeerRolloutEntries(directory, peers), rolloutLease)
+
+    /** The metrics that the steward exposes. */
+    internal val registry: PrometheusRegistry = PrometheusRegistry()
+
+    @Volatile
+    private var stewards: List<ListedInstance> = emptyList()
+    private val leases = listOf(BILL_DUTY, ROLLOUT_DUTY).associateWith(::newLease)
+    private val roster = DutyRoster(leases, rank = ::rankFor, patience = settings.leaseTimeToLive)
+    private val billDuty = newBillDuty()
+    private val rollouts = RolloutDuty(store, PeerRolloutEntries(directory, peers), leases.getValue(ROLLOUT_DUTY))
+    private val sections: List<StatusSection> = listOf(dutiesSection(leases.values))
     private val server: Javalin = startOperatorServer()
     private val scheduler = newScheduler("steward")
 
     init {
+        registerDuties(leases.values, registry)
         scheduler.every(settings.dutyPeriod) {
             announce()
-            lease.renew()
+            stewards = directory.instances().getOrNull().orEmpty().filter { it.kind == InstanceKind.STEWARD }
         }
-        scheduler.every(settings.dutyPeriod, rolloutLease::renew)
+        scheduler.every(settings.dutyPeriod, roster::renew)
+        scheduler.every(settings.billPeriod) { whileHeld(BILL_DUTY, billDuty::run) }
         scheduler.every(settings.dutyPeriod, rollouts::run)
         logger.info("steward {} has started", incarnation)
     }
 
+    private fun newLease(duty: String): DutyLease = DutyLease(
+        store = store,
+        name = duty,
+        holder = incarnation,
+        timeToLive = settings.leaseTimeToLive,
+        margin = settings.leaseMargin,
+    )
+
+    /** How many other stewards should rather hold [duty]; they differ by duty, so that the duties spread. */
+    private fun rankFor(duty: String): Int =
+        homeOrder(HomeScope(duty), stewards).indexOfFirst { it.id == settings.instance }.coerceAtLeast(0)
+
+    private fun newBillDuty(): BillDuty {
+        val witnesses = PeerBillWitnesses(directory, peers)
+        return BillDuty(
+            ended = EndedIncarnations(store, directory, witnesses, settings.goneAfter),
+            folding = BillFolding(store, witnesses),
+            foldedCells = FoldedCells(store),
+            registry = registry,
+        )
+    }
+
+    private fun whileHeld(duty: String, action: (isHeld: () -> Boolean) -> Unit) {
+        val isHeld = { roster.held(duty) != null }
+        if (isHeld()) action(isHeld)
+    }
+
     private fun startOperatorServer(): Javalin {
         val address = requireNotNull(HostPort.parse(settings.operatorAddress)) { "checked with the settings" }
         return startHttpServer(address.host, address.port) {
+            addStatusRoutes { DaemonStatus(InstanceKind.STEWARD, incarnation, sections = sections.readAll()) }
             get("/metrics") { writeMetrics(it, registry) }
             get("/health/live") { it.result("live") }
         }
     }
 
     private fun announce() {
+        val operatorAddress = "http://${HostPort.parse(settings.operatorAddress)?.host}:${server.port()}"
         directory.announce(
             ListedInstance(
                 id = settings.instance,
                 kind = InstanceKind.STEWARD,
-                address = "http://${HostPort.parse(settings.operatorAddress)?.host}:${server.port()}",
+                address = operatorAddress,
                 failureDomain = settings.failureDomain,
                 start = incarnation.start,
+                operatorAddress = operatorAddress,
             ),
         )
     }
 
     override fun close() {
         scheduler.shutdownNow()
-        lease.release()
-        rolloutLease.release()
+        roster.release()
         peers.close()
         directory.remove(settings.instance)
         server.stop()
@@ -89,6 +127,8 @@
     }
 
     private companion object {
+        const val BILL_DUTY = "bills"
+        const val ROLLOUT_DUTY = "rollouts"
         val logger = LogManager.getLogger(StewardProgram::class.java)
     }
 }
