--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionRun.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionRun.kt
@@ -45,6 +45,10 @@
         private set
     var tokensSent = 0
         private set
+
+    /** How many attempts have failed that may have run. */
+    var interruptions = 0
+        private set
     var untilFirstToken: Duration? = null
         private set
 
@@ -102,7 +106,9 @@
 
     /** Notes how an attempt failed, for [failureAfter]. */
     fun noteFailure(failure: RequestFailure) {
-        if (failure is MayHaveRun) mayHaveRun = failure
+        if (failure !is MayHaveRun) return
+        mayHaveRun = failure
+        interruptions++
     }
 
     /** [failure] as the caller may be told it: once an attempt may have run, none says that the request has not run. */
