--- a/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CascadeRouteChooser.kt
@@ -65,7 +65,11 @@
         val best = BestOptions(request, dearest = stages.maxOf { it.cost })
         RouteOptions(request, stages, estimates).forEach(best::weigh)
         val chosen = if (exploration.isExploration(request)) explored(request, stages, best) else best.chosen()
-        val considered = stages.map { considered(it, chosen, best, request.plan.qualityTarget) }
+        val dearer = "costs more, in cost, latency and exposure, than ${chosen.stages.joinToString(" then ")}"
+        val considered = stages.map { stage ->
+            val reason = passedOver(stage, chosen, best, request.plan.qualityTarget, dearer)
+            ConsideredVersion(stage.reference, stage.profile.passRate, stage.version.costPerThousandTokens, reason)
+        }
         return Route(chosen.stages, considered, gateOf(chosen)).right()
     }
 
@@ -105,15 +109,17 @@
         return rollout?.baseline ?: eligible.reference
     }
 
-    private fun considered(stage: Stage, chosen: RouteOption, best: BestOptions, target: Double): ConsideredVersion {
-        val quality = stage.profile.passRate
-        val reason = when {
-            stage === chosen.first || stage === chosen.second -> null
-            !best.hasSufficient -> "no route reaches the target of $target; the best is taken"
-            quality < target -> "estimated quality is below the target of $target"
-            else -> "costs more, in cost, latency and exposure, than ${chosen.stages.joinToString(" then ")}"
-        }
-        return ConsideredVersion(stage.reference, quality, stage.version.costPerThousandTokens, reason)
+    private fun passedOver(
+        stage: Stage,
+        chosen: RouteOption,
+        best: BestOptions,
+        target: Double,
+        dearer: String,
+    ): String? = when {
+        stage === chosen.first || stage === chosen.second -> null
+        !best.hasSufficient -> "no route reaches the target of $target; the best is taken"
+        stage.profile.passRate < target -> "estimated quality is below the target of $target"
+        else -> dearer
     }
 
     /** The best option by each of the criteria that [choose] falls back on, in one pass over the options. */
@@ -129,16 +135,17 @@
         val hasSufficient: Boolean get() = probable.option != null
 
         fun weigh(option: RouteOption) {
+            if (option.quality > (highest?.quality ?: -1.0)) highest = option
+            val standardError = option.standardError
+            if (option.quality + explorationQuantile * standardError < target) return
             val weight = weightOf(option)
             val windowMargin = windowQuantile * sqrt(option.quality * (1 - option.quality) / settings.windowAnswers)
-            val standardError = option.standardError
             val estimateMargin = estimateQuantile * standardError
             val combinedMargin = sqrt(windowMargin * windowMargin + estimateMargin * estimateMargin)
             if (option.quality - combinedMargin >= target) certain.offer(option, weight)
             if (option.quality - windowMargin >= target) probable.offer(option, weight)
-            val explorationMargin = explorationQuantile * standardError
-            if (option.quality - windowMargin + explorationMargin >= target) possible.offer(option, weight)
-            if (option.quality > (highest?.quality ?: -1.0)) highest = option
+            val upperBound = option.quality + explorationQuantile * standardError
+            if (upperBound - windowMargin >= target) possible.offer(option, weight)
         }
 
         fun chosen(): RouteOption =
