--- a/replay/src/main/kotlin/io/quetzalfield/replay/ReplayPlots.kt
+++ b/replay/src/main/kotlin/io/quetzalfield/replay/ReplayPlots.kt
@@ -3,6 +3,7 @@
 import org.jfree.chart.ChartFactory
 import org.jfree.chart.ChartUtils
 import org.jfree.chart.JFreeChart
+import org.jfree.chart.axis.CategoryLabelPositions
 import org.jfree.chart.plot.PlotOrientation
 import org.jfree.chart.renderer.category.StatisticalBarRenderer
 import org.jfree.data.statistics.DefaultStatisticalCategoryDataset
@@ -40,5 +41,6 @@
         false,
     )
     chart.categoryPlot.renderer = StatisticalBarRenderer()
+    chart.categoryPlot.domainAxis.categoryLabelPositions = CategoryLabelPositions.UP_45
     return chart
 }
