--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/WholePathTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/WholePathTest.kt
@@ -4,6 +4,8 @@
 import io.quetzalfield.platform.engine.ChatMessage
 import io.quetzalfield.standins.CallerClient
 import io.quetzalfield.standins.answerWords
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Nested
@@ -130,4 +132,24 @@
             assertEquals(1, runsOf("needle-18"))
         }
     }
+
+    @Nested
+    inner class Logs {
+        private fun lines(process: String): List<String> =
+            fleet.processes.log(process).lines().filter(String::isNotBlank)
+
+        @Test
+        fun `every line is JSON with time, level and message`() {
+            val lines = listOf("entry-1", "entry-2", "steward-1").flatMap(::lines)
+            val keys = lines.map { Json.parseToJsonElement(it).jsonObject.keys }
+            assertTrue(keys.isNotEmpty() && keys.all { it.containsAll(listOf("time", "level", "message")) })
+        }
+
+        @Test
+        fun `requests write no lines`() {
+            val before = lines("entry-1").size
+            repeat(5) { fleet.caller("entry-1").complete("workshop-key", question("How old is needle $it")) }
+            assertEquals(before, lines("entry-1").size)
+        }
+    }
 }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryPeerService.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryPeerService.kt
@@ -6,6 +6,7 @@
 import io.quetzalfield.peer.wire.BillRecord
 import io.quetzalfield.peer.wire.CollectReply
 import io.quetzalfield.peer.wire.CollectRequest
+import io.quetzalfield.peer.wire.FingerprintList
 import io.quetzalfield.peer.wire.ForgetReply
 import io.quetzalfield.peer.wire.ForgetRequest
 import io.quetzalfield.peer.wire.ForwardReply
@@ -13,7 +14,11 @@
 import io.quetzalfield.peer.wire.ListsOffer
 import io.quetzalfield.peer.wire.ListsPush
 import io.quetzalfield.peer.wire.ListsReply
+import io.quetzalfield.peer.wire.ObservationsReply
+import io.quetzalfield.peer.wire.ObservationsRequest
 import io.quetzalfield.peer.wire.PeerGrpc
+import io.quetzalfield.peer.wire.VersionStop
+import io.quetzalfield.peer.wire.VersionStopReply
 import io.quetzalfield.peer.wire.WitnessReply
 import io.quetzalfield.peer.wire.WitnessedReply
 import io.quetzalfield.peer.wire.WitnessedRequest
@@ -23,6 +28,7 @@
     private val lists: ListsHolder,
     private val witnessedBills: WitnessedBills,
     private val forwarded: ForwardHandler,
+    private val control: EntryControl,
     private val onNewLists: () -> Unit = {},
 ) : PeerGrpc.PeerImplBase() {
     override fun exchangeLists(request: ListsOffer, observer: StreamObserver<ListsReply>) {
@@ -58,6 +64,19 @@
     override fun forward(request: ForwardRequest, observer: StreamObserver<ForwardReply>) {
         forwarded.run(request, observer)
     }
+
+    override fun exchangeFingerprints(request: FingerprintList, observer: StreamObserver<FingerprintList>) {
+        observer.answer(control.answerFingerprints(request))
+    }
+
+    override fun readObservations(request: ObservationsRequest, observer: StreamObserver<ObservationsReply>) {
+        observer.answer(control.answerObservations())
+    }
+
+    override fun stopVersion(request: VersionStop, observer: StreamObserver<VersionStopReply>) {
+        control.learnStop(request)
+        observer.answer(VersionStopReply.getDefaultInstance())
+    }
 }
 
 internal fun <T> StreamObserver<T>.answer(reply: T) {
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -3,7 +3,7 @@
 import io.javalin.Javalin
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.decision.CheapestSufficientRouteChooser
-import io.quetzalfield.decision.LeastLoadedRunnerChooser
+import io.quetzalfield.decision.RolloutRouteChooser
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
@@ -12,8 +12,10 @@
 import io.quetzalfield.peer.PeerServer
 import io.quetzalfield.platform.EtcdGatewayKeyValueStore
 import io.quetzalfield.platform.HttpInstanceDirectory
+import io.quetzalfield.platform.HttpRatingService
 import io.quetzalfield.platform.InstanceDirectory
 import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.platform.RatingService
 import io.quetzalfield.support.HostPort
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
@@ -32,6 +34,7 @@
     private val settings: EntrySettings,
     store: KeyValueStore = EtcdGatewayKeyValueStore(settings.platformAddress),
     private val directory: InstanceDirectory = HttpInstanceDirectory(settings.platformAddress),
+    ratingService: RatingService = HttpRatingService(settings.platformAddress),
 ) : AutoCloseable {
     private val incarnation = Incarnation(settings.instance, UUID.randomUUID().toString())
     private val client = newClient()
@@ -42,7 +45,7 @@
     private val sessions = SessionCounts(metrics.registry)
     private val journal = BoundedRequestJournal()
     private val fleet = FleetView(directory, ages)
-    private val loads = RunnerLoadTracker(fleet, client, ages)
+    private val loads = RunnerLoadTracker(settings.instance, fleet, client, ages)
     private val gate = ShutdownGate()
     private val peers = PeerClients()
     private val scheduler = newScheduler("entry")
@@ -63,14 +66,14 @@
         peers = peers,
         store = store,
     )
+    private val control = EntryControl(incarnation, lists, fleet, loads, peers, metrics, ratingService)
     private val decisionLists = CurrentLists(lists, distribution::isCurrent)
     private val completions = CompletionService(
-        ownFailureDomain = settings.failureDomain,
-        routeChooser = CheapestSufficientRouteChooser(),
-        runnerChooser = LeastLoadedRunnerChooser,
-        loads = loads,
-        fleet = fleet,
-        runners = RunnerClient(client),
+        routeChooser = RolloutRouteChooser(CheapestSufficientRouteChooser()),
+        admission = control.admission,
+        attempts = control.attempts(settings.failureDomain, RunnerClient(client), journal),
+        rollouts = control.rollouts,
+        answers = control.answers,
         ledger = ledger,
         metrics = metrics,
         journal = journal,
@@ -109,7 +112,7 @@
             versionsSection(lists),
             sessionsSection(sessions),
             billsSection(lists, ledger),
-        ),
+        ) + control.sections,
     )
     private val peerServer = startPeerServer()
     private val server: Javalin = startCallerServer()
@@ -129,6 +132,7 @@
         scheduler.every(settings.listRefresh, distribution::refresh)
         scheduler.every(settings.loadRefresh, loads::refresh)
         scheduler.every(settings.billFlush, ledger::flush)
+        control.start()
         logger.info("entry {} serves callers at {} and peers at {}", incarnation, callerAddress, peerAddress)
     }
 
@@ -170,6 +174,7 @@
             lists = lists,
             witnessedBills = WitnessedBills(billedKeys),
             forwarded = ForwardedRequests(decisionLists, gate, requests),
+            control = control,
             onNewLists = distribution::spread,
         )
         return PeerServer(address.host, address.port, peerService)
@@ -203,6 +208,7 @@
         ledger.flush()
         scheduler.shutdownNow()
         distribution.close()
+        control.close()
         directory.remove(settings.instance)
         server.stop()
         operatorServer.stop()
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -19,6 +19,8 @@
 import io.quetzalfield.steward.bills.EndedIncarnations
 import io.quetzalfield.steward.bills.FoldedCells
 import io.quetzalfield.steward.bills.PeerBillWitnesses
+import io.quetzalfield.steward.rollouts.PeerRolloutEntries
+import io.quetzalfield.steward.rollouts.RolloutDuty
 import io.quetzalfield.support.HostPort
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
@@ -45,9 +47,10 @@
 
     @Volatile
     private var stewards: List<ListedInstance> = emptyList()
-    private val leases = listOf(BILL_DUTY).associateWith(::newLease)
+    private val leases = listOf(BILL_DUTY, ROLLOUT_DUTY).associateWith(::newLease)
     private val roster = DutyRoster(leases, rank = ::rankFor, patience = settings.leaseTimeToLive)
     private val billDuty = newBillDuty()
+    private val rollouts = RolloutDuty(store, PeerRolloutEntries(directory, peers), leases.getValue(ROLLOUT_DUTY))
     private val sections: List<StatusSection> = listOf(dutiesSection(leases.values))
     private val server: Javalin = startOperatorServer()
     private val scheduler = newScheduler("steward")
@@ -60,6 +63,7 @@
         }
         scheduler.every(settings.dutyPeriod, roster::renew)
         scheduler.every(settings.billPeriod) { whileHeld(BILL_DUTY, billDuty::run) }
+        scheduler.every(settings.dutyPeriod, rollouts::run)
         logger.info("steward {} has started", incarnation)
     }
 
@@ -124,6 +128,7 @@
 
     private companion object {
         const val BILL_DUTY = "bills"
+        const val ROLLOUT_DUTY = "rollouts"
         val logger = LogManager.getLogger(StewardProgram::class.java)
     }
 }
