--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
@@ -20,6 +20,7 @@
 import io.quetzalfield.platform.RatingService
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
+import io.quetzalfield.support.status.StatusSection
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -57,6 +58,13 @@
     )
     val admission = RequestAdmission(AdmissionControl(allowance), loads, answerTimes, onDemand)
     val rollouts = RolloutMonitor(lists, observations, PeerObservations(incarnation, fleet, peers), metrics)
+
+    /** What operators are shown of these parts. */
+    val sections: List<StatusSection> = listOf(
+        suspectsSection(quarantine),
+        allowancesSection(lists, allowance),
+        stoppedVersionsSection(lists, rollouts),
+    )
     val answers = AnswerObserver(answerTimes, observations, ratings, routing)
 
     fun attempts(
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -136,7 +136,7 @@
             versionsSection(lists),
             sessionsSection(sessions),
             billsSection(lists, ledger),
-        ),
+        ) + control.sections,
     )
     private val peerServer = startPeerServer()
     private val server: Javalin = startCallerServer()
