--- a/entry/src/main/kotlin/io/quetzalfield/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CallerApi.kt
@@ -19,6 +19,7 @@
 import io.quetzalfield.platform.PlatformJson
 import kotlinx.serialization.KSerializer
 import java.security.MessageDigest
+import java.util.HexFormat
 import java.util.UUID
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -28,7 +29,7 @@
 
 /** The interface towards callers. */
 internal class CallerApi(
-    private val lists: ListsHolder,
+    private val lists: DecisionLists,
     private val fleet: FleetView,
     private val completions: CompletionService,
     private val services: ServiceCallService,
@@ -38,6 +39,7 @@
     private val addressValidity: Duration,
     private val metrics: EntryMetrics,
     private val gate: ShutdownGate,
+    private val sessions: SessionCounts,
     private val clock: Clock = Clock.System,
 ) {
     fun addRoutes(routes: RoutesConfig) {
@@ -89,6 +91,7 @@
         )
         return sessionTokens.sign(pin, caller.snapshot)
             .mapLeft { NotRun(RefusalReason.LISTS_NOT_CURRENT, it.message) }
+            .onRight { sessions.countOpened(version) }
             .map { OpenSessionAnswer(pin.session.value, it, version.toString(), pin.revision.value) }
     }
 
@@ -118,15 +121,18 @@
     }
 
     private fun answerReady(context: Context) {
-        val isReady = lists.snapshot !== ListsSnapshot.Empty && !gate.isClosed
+        val isReady = lists.snapshot().isRight() && !gate.isClosed
         if (isReady) context.result("ready") else context.status(RefusalReason.SHUTTING_DOWN.status).result("not ready")
     }
 
     private fun authenticate(context: Context): Either<NotRun, Caller> {
         val header = context.header("Authorization")
             ?: return NotRun(RefusalReason.MISSING_API_KEY, "send 'Authorization: Bearer KEY'").left()
-        val snapshot = lists.snapshot
-        val account = snapshot.accountByKeyHash(sha256(header.removePrefix(BEARER_PREFIX)))
+        return lists.snapshot().flatMap { snapshot -> recognise(header.removePrefix(BEARER_PREFIX), snapshot) }
+    }
+
+    private fun recognise(apiKey: String, snapshot: ListsSnapshot): Either<NotRun, Caller> {
+        val account = snapshot.accountByKeyHash(sha256(apiKey))
         val plan = account?.let { snapshot.plan(it.plan) }
             ?: return NotRun(RefusalReason.UNKNOWN_API_KEY, "the API key is not known").left()
         return Caller(snapshot, account, plan).right()
@@ -145,7 +151,7 @@
 }
 
 internal fun sha256(text: String): String =
-    MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()).joinToString("") { "%02x".format(it) }
+    HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()))
 
 internal fun <T> Context.answerJson(serializer: KSerializer<T>, value: T) {
     contentType("application/json").result(PlatformJson.encodeToString(serializer, value))
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryPeerService.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryPeerService.kt
@@ -22,15 +22,17 @@
 internal class EntryPeerService(
     private val lists: ListsHolder,
     private val witnessedBills: WitnessedBills,
-    private val forwarded: ForwardedRequests,
+    private val forwarded: ForwardHandler,
+    private val onNewLists: () -> Unit = {},
 ) : PeerGrpc.PeerImplBase() {
     override fun exchangeLists(request: ListsOffer, observer: StreamObserver<ListsReply>) {
         observer.answer(lists.replyTo(request.revision))
     }
 
     override fun pushLists(request: ListsPush, observer: StreamObserver<ListsReply>) {
-        lists.adoptJson(request.lists.toStringUtf8())
+        val isNew = lists.adoptJson(request.lists.toStringUtf8())
         observer.answer(lists.replyTo(lists.revision.value))
+        if (isNew) onNewLists()
     }
 
     override fun witnessBill(request: BillRecord, observer: StreamObserver<WitnessReply>) {
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -2,11 +2,13 @@
 
 import io.javalin.Javalin
 import io.javalin.util.JavalinException
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.decision.CheapestSufficientRouteChooser
 import io.quetzalfield.decision.LeastLoadedRunnerChooser
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.model.ListsRevision
 import io.quetzalfield.peer.PeerClients
 import io.quetzalfield.peer.PeerServer
 import io.quetzalfield.platform.EtcdGatewayKeyValueStore
@@ -37,8 +39,11 @@
     private val client = newClient()
     private val metrics = EntryMetrics()
     private val lists = ListsHolder()
-    private val fleet = FleetView(directory)
-    private val loads = RunnerLoadTracker(fleet, client)
+    private val ages = StateAges().also { it.register(metrics.registry) }
+    private val sessions = SessionCounts(metrics.registry)
+    private val journal = BoundedRequestJournal()
+    private val fleet = FleetView(directory, ages)
+    private val loads = RunnerLoadTracker(fleet, client, ages)
     private val gate = ShutdownGate()
     private val peers = PeerClients()
     private val scheduler = newScheduler("entry")
@@ -50,7 +55,17 @@
         billedKeys = billedKeys,
         observer = metrics::countBill,
     )
-    private val distribution = ListsDistribution(incarnation, lists, fleet, peers, store)
+    private val distribution = ListsDistribution(
+        incarnation = incarnation,
+        ownFailureDomain = settings.failureDomain,
+        lists = lists,
+        currency = ListsCurrency(settings.listsStaleAfter),
+        fleet = fleet,
+        peers = peers,
+        store = store,
+        ages = ages,
+    )
+    private val decisionLists = CurrentLists(lists, distribution::isCurrent)
     private val completions = CompletionService(
         ownFailureDomain = settings.failureDomain,
         routeChooser = CheapestSufficientRouteChooser(),
@@ -61,6 +76,7 @@
         ledger = ledger,
         metrics = metrics,
         currentLists = lists::snapshot,
+        journal = journal,
     )
     private val services = ServiceCallService(incarnation, ServiceClient(fleet, client), store)
     private val sessionTokens = SignedTokens("session", SessionPin.serializer())
@@ -74,7 +90,7 @@
         metrics = metrics,
     )
     private val callerApi = CallerApi(
-        lists = lists,
+        lists = decisionLists,
         fleet = fleet,
         completions = completions,
         services = services,
@@ -84,19 +100,39 @@
         addressValidity = settings.addressValidity,
         metrics = metrics,
         gate = gate,
+        sessions = sessions,
+    )
+    private val status = EntryStatus(
+        incarnation = incarnation,
+        lists = lists,
+        journal = journal,
+        sections = listOf(
+            agesSection(ages),
+            requestsSection(gate),
+            versionsSection(lists),
+            sessionsSection(sessions),
+            billsSection(lists, ledger),
+        ),
     )
     private val peerServer = startPeerServer()
     private val server: Javalin = startCallerServer()
+    private val operatorServer: Javalin = startOperatorServer()
+
+    /** The metrics that the entry exposes. */
+    internal val registry: PrometheusRegistry get() = metrics.registry
+
+    @Volatile
+    private var isLeaving = false
 
     init {
+        registerEntryGauges(registry, gate, lists)
         fleet.refresh()
-        announce(isLeaving = false)
-        distribution.start()
+        announce()
         scheduler.every(settings.listRefresh) {
             fleet.refresh()
-            announce(isLeaving = gate.isClosed)
+            announce()
         }
-        scheduler.every(settings.listRefresh, distribution::exchangeWithPeers)
+        scheduler.every(settings.listRefresh, distribution::refresh)
         scheduler.every(settings.loadRefresh, loads::refresh)
         scheduler.every(settings.billFlush, ledger::flush)
         logger.info("entry {} serves callers at {} and peers at {}", incarnation, callerAddress, peerAddress)
@@ -106,6 +142,13 @@
     public val callerAddress: String
         get() = "http://${HostPort.parse(settings.callerAddress)?.host}:${server.port()}"
 
+    /** The revision of the lists in force. */
+    public val listsRevision: ListsRevision get() = lists.revision
+
+    /** The address at which operators are answered. */
+    public val operatorAddress: String
+        get() = "http://${HostPort.parse(settings.operatorAddress)?.host}:${operatorServer.port()}"
+
     private val peerAddress: String
         get() = "${HostPort.parse(settings.peerAddress)?.host}:${peerServer.port}"
 
@@ -117,17 +160,28 @@
         }
     }
 
+    private fun startOperatorServer(): Javalin {
+        val address = requireNotNull(HostPort.parse(settings.operatorAddress)) { "checked with the settings" }
+        return startHttpServer(
+            host = address.host,
+            port = address.port,
+            threads = OPERATOR_THREADS,
+            routes = OperatorApi(status, metrics)::addRoutes,
+        )
+    }
+
     private fun startPeerServer(): PeerServer {
         val address = requireNotNull(HostPort.parse(settings.peerAddress)) { "checked with the settings" }
-        val forwarded = ForwardedRequests(lists, gate, requests)
-        return PeerServer(
-            address.host,
-            address.port,
-            EntryPeerService(lists, WitnessedBills(billedKeys), forwarded),
+        val peerService = EntryPeerService(
+            lists = lists,
+            witnessedBills = WitnessedBills(billedKeys),
+            forwarded = ForwardedRequests(decisionLists, gate, requests),
+            onNewLists = distribution::spread,
         )
+        return PeerServer(address.host, address.port, peerService)
     }
 
-    private fun announce(isLeaving: Boolean) {
+    private fun announce() {
         directory.announce(
             ListedInstance(
                 id = settings.instance,
@@ -137,6 +191,7 @@
                 peerAddress = peerAddress,
                 isLeaving = isLeaving,
                 start = incarnation.start,
+                operatorAddress = operatorAddress,
             ),
         )
     }
@@ -147,8 +202,9 @@
      */
     override fun close() {
         logger.info("entry {} shuts down", incarnation)
-        announce(isLeaving = true)
-        gate.pause(settings.addressValidity)
+        isLeaving = true
+        announce()
+        gate.pause(settings.addressValidity + settings.listRefresh * LIST_REFRESHES_UNTIL_KNOWN)
         gate.close()
         val isDrained = gate.awaitDrained(settings.shutdownGrace)
         ledger.flush()
@@ -156,6 +212,7 @@
         distribution.close()
         directory.remove(settings.instance)
         stopServer()
+        operatorServer.stop()
         peerServer.close()
         peers.close()
         logger.info("entry {} has stopped, {}", incarnation, if (isDrained) "drained" else "with requests running")
@@ -171,6 +228,10 @@
 
     private companion object {
         val STOP_TIMEOUT = 2.seconds
+
+        /** Refreshes within which the other entries see that this one is leaving, and stop handing out its address. */
+        const val LIST_REFRESHES_UNTIL_KNOWN = 2
+        const val OPERATOR_THREADS = 32
         const val LARGEST_CONCURRENCY = 4_096
         const val IDLE_CONNECTIONS = 256
         const val KEEP_ALIVE_MINUTES = 5L
--- a/entry/src/main/kotlin/io/quetzalfield/entry/ForwardedRequests.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ForwardedRequests.kt
@@ -1,23 +1,31 @@
 package io.quetzalfield.entry
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
 import io.grpc.Status
 import io.grpc.stub.StreamObserver
 import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.ListsSnapshot
 import io.quetzalfield.model.NotRun
 import io.quetzalfield.model.RefusalReason
 import io.quetzalfield.peer.wire.ForwardReply
 import io.quetzalfield.peer.wire.ForwardRequest
 
+/** Runs a request that another entry forwards. */
+internal fun interface ForwardHandler {
+    /** Runs [request] and streams the answer to [observer]. */
+    fun run(request: ForwardRequest, observer: StreamObserver<ForwardReply>)
+}
+
 /** Runs requests that other entries forward to this one, as it runs those of its own callers. */
 internal class ForwardedRequests(
-    private val lists: ListsHolder,
+    private val lists: DecisionLists,
     private val gate: ShutdownGate,
     private val requests: CallerRequests,
-) {
-    fun run(request: ForwardRequest, observer: StreamObserver<ForwardReply>) {
+) : ForwardHandler {
+    override fun run(request: ForwardRequest, observer: StreamObserver<ForwardReply>) {
         val isRun = gate.enter {
             try {
                 observer.onNext(ForwardReply.getDefaultInstance())
@@ -46,8 +54,10 @@
     }
 
     /** The sender has checked the API key; the plan is that of the lists which are in force here. */
-    private fun caller(id: ClientAccountId): Either<NotRun, Caller> {
-        val snapshot = lists.snapshot
+    private fun caller(id: ClientAccountId): Either<NotRun, Caller> =
+        lists.snapshot().flatMap { snapshot -> caller(id, snapshot) }
+
+    private fun caller(id: ClientAccountId, snapshot: ListsSnapshot): Either<NotRun, Caller> {
         val account = snapshot.account(id)
         val plan = account?.let { snapshot.plan(it.plan) }
             ?: return NotRun(RefusalReason.UNKNOWN_API_KEY, "account $id is not known").left()
--- a/operator/src/main/kotlin/io/quetzalfield/operator/ExplainCommand.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ExplainCommand.kt
@@ -1,25 +1,49 @@
 package io.quetzalfield.operator
 
 import arrow.core.getOrElse
-import com.github.ajalt.clikt.core.CliktCommand
-import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.optional
+import com.github.ajalt.clikt.parameters.groups.cooccurring
+import com.github.ajalt.clikt.parameters.groups.provideDelegate
 import com.github.ajalt.clikt.parameters.options.option
-import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.path
+import io.quetzalfield.model.InstanceKind
+import io.quetzalfield.model.RequestId
+import io.quetzalfield.support.status.RequestExplanation
+import java.nio.file.Path
 
-private const val EXIT_BROKEN = 1
-private const val EXIT_UNREADABLE = 2
-
-/** `quetzalfield explain --check HISTORY`: says which promises a recorded history keeps. */
-internal class ExplainCommand : CliktCommand("explain") {
-    private val historyFile by option("--check", help = "recorded history to check").path().required()
+/**
+ * Explains one request as the entry that decided it noted it, or with `--check` says which promises a recorded history
+ * keeps.
+ */
+internal class ExplainCommand(connector: PlatformConnector) :
+    OperatorCommand("explain", "Explain a request: how it was decided, sent, answered and billed") {
+    private val request by argument(help = "Request id, from the header Quetzalfield-Request of its answer").optional()
+    private val historyFile by option("--check", help = "Recorded history to check instead").path()
+    private val platform by PlatformOptions(connector).cooccurring()
 
     override fun run() {
-        val report = HistoryCheck.check(historyFile).getOrElse { problem ->
-            echo(problem, err = true)
-            throw ProgramResult(EXIT_UNREADABLE)
-        }
-        report.lines.forEach { echo(it) }
-        if (!report.isRight) throw ProgramResult(EXIT_BROKEN)
+        val file = historyFile
+        if (file == null) explain() else check(file)
+    }
+
+    private fun check(file: Path) {
+        val checked = HistoryCheck.check(file).getOrElse { fail(ExitCode.HISTORY_REFUSED, listOf(it)) }
+        report(HistoryCheckReport.serializer(), checked, HistoryCheckReport::lines)
+        if (!checked.isRight) fail(ExitCode.HISTORY_REFUSED, listOf("$file breaks a promise, or has nothing to check"))
+    }
+
+    private fun explain() {
+        val id = RequestId(request ?: throw UsageError("name the request to explain"))
+        val connection = platform?.connect() ?: throw UsageError("name the platform with --platform")
+        val entries = connection.directory.instances()
+            .getOrElse { fail(ExitCode.PLATFORM_SILENT, listOf(it.message)) }
+            .filter { it.kind == InstanceKind.ENTRY }
+        val answers = entries.associate { it.id to connection.daemons.explanation(it, id) }
+        val explanations = answers.values.mapNotNull { it.getOrNull() }
+        val silent = answers.mapNotNull { (entry, answer) -> answer.leftOrNull()?.let { "$entry: ${it.message}" } }
+        if (explanations.isEmpty()) fail(ExitCode.NOT_FOUND, listOf("no live entry knows request $id") + silent)
+        explanations.forEach { report(RequestExplanation.serializer(), it, RequestExplanation::toLines) }
     }
 }
--- a/operator/src/main/kotlin/io/quetzalfield/operator/HistoryCheck.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/HistoryCheck.kt
@@ -8,6 +8,7 @@
 import io.quetzalfield.history.Verdict
 import io.quetzalfield.history.checkAll
 import io.quetzalfield.history.decodeHistory
+import kotlinx.serialization.Serializable
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
@@ -18,6 +19,7 @@
  * @property lines one line for each promise, and one for each violation.
  * @property isRight whether no promise is broken and at least one was checked.
  */
+@Serializable
 public data class HistoryCheckReport(val lines: List<String>, val isRight: Boolean)
 
 /** Runs every checker over recorded histories, for `quetzalfield explain --check HISTORY`. */
