--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -147,13 +147,16 @@
 
     private var lastFlush = TimeSource.Monotonic.markNow()
 
+    @Volatile
+    private var isLeaving = false
+
     init {
         registerEntryGauges(registry, gate, lists)
         fleet.refresh()
-        announce(isLeaving = false)
+        announce()
         scheduler.every(settings.listRefresh) {
             fleet.refresh()
-            announce(isLeaving = gate.isClosed)
+            announce()
         }
         scheduler.every(settings.listRefresh, distribution::refresh)
         scheduler.every(settings.loadRefresh, loads::refresh)
@@ -214,7 +217,7 @@
         return PeerServer(address.host, address.port, peerService)
     }
 
-    private fun announce(isLeaving: Boolean) {
+    private fun announce() {
         directory.announce(
             ListedInstance(
                 id = settings.instance,
@@ -235,8 +238,9 @@
      */
     override fun close() {
         logger.info("entry {} shuts down", incarnation)
-        announce(isLeaving = true)
-        gate.pause(settings.addressValidity)
+        isLeaving = true
+        announce()
+        gate.pause(settings.addressValidity + settings.listRefresh * LIST_REFRESHES_UNTIL_KNOWN)
         gate.close()
         val isDrained = gate.awaitDrained(settings.shutdownGrace)
         ledger.flush()
@@ -262,6 +266,9 @@
     private companion object {
         const val OPERATOR_THREADS = 32
         val STOP_TIMEOUT = 2.seconds
+
+        /** Refreshes within which the other entries see that this one is leaving, and stop handing out its address. */
+        const val LIST_REFRESHES_UNTIL_KNOWN = 2
         const val LARGEST_CONCURRENCY = 4_096
         const val IDLE_CONNECTIONS = 256
         const val KEEP_ALIVE_MINUTES = 5L
--- a/operator/src/main/kotlin/io/quetzalfield/operator/ExplainCommand.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ExplainCommand.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.arguments.optional
+import com.github.ajalt.clikt.parameters.groups.cooccurring
 import com.github.ajalt.clikt.parameters.groups.provideDelegate
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.path
@@ -12,27 +13,30 @@
 import io.quetzalfield.support.status.RequestExplanation
 import java.nio.file.Path
 
-/** Explains one request as the entry that decided it noted it. */
+/**
+ * Explains one request as the entry that decided it noted it, or with `--check` says which promises a recorded history
+ * keeps.
+ */
 internal class ExplainCommand(connector: PlatformConnector) :
     OperatorCommand("explain", "Explain a request: how it was decided, sent, answered and billed") {
     private val request by argument(help = "Request id, from the header Quetzalfield-Request of its answer").optional()
-    private val history by option("--check", help = "Recorded history to check against every promise").path()
-    private val platform by PlatformOptions(connector)
+    private val historyFile by option("--check", help = "Recorded history to check instead").path()
+    private val platform by PlatformOptions(connector).cooccurring()
 
     override fun run() {
-        val file = history
-        if (file == null) explainRequest() else checkHistory(file)
+        val file = historyFile
+        if (file == null) explain() else check(file)
     }
 
-    private fun checkHistory(file: Path) {
-        val report = HistoryCheck.check(file).getOrElse { fail(ExitCode.HISTORY_UNREADABLE, listOf(it)) }
-        report.lines.forEach { echo(it) }
-        if (!report.isRight) fail(ExitCode.PROMISE_BROKEN, listOf("a promise is broken, or none was checked"))
+    private fun check(file: Path) {
+        val checked = HistoryCheck.check(file).getOrElse { fail(ExitCode.HISTORY_REFUSED, listOf(it)) }
+        report(HistoryCheckReport.serializer(), checked, HistoryCheckReport::lines)
+        if (!checked.isRight) fail(ExitCode.HISTORY_REFUSED, listOf("$file breaks a promise, or has nothing to check"))
     }
 
-    private fun explainRequest() {
+    private fun explain() {
         val id = RequestId(request ?: throw UsageError("name the request to explain"))
-        val connection = platform.connect()
+        val connection = platform?.connect() ?: throw UsageError("name the platform with --platform")
         val entries = connection.directory.instances()
             .getOrElse { fail(ExitCode.PLATFORM_SILENT, listOf(it.message)) }
             .filter { it.kind == InstanceKind.ENTRY }
--- a/operator/src/main/kotlin/io/quetzalfield/operator/ListsOptions.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ListsOptions.kt
@@ -1,6 +1,5 @@
 package io.quetzalfield.operator
 
-import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.parameters.groups.OptionGroup
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
@@ -17,10 +16,9 @@
 
 /** The option that names the platform. */
 internal class PlatformOptions(private val connector: PlatformConnector) : OptionGroup(name = "Platform") {
-    private val address by option("--platform", help = "http://host:port of the platform")
+    private val address by option("--platform", help = "http://host:port of the platform").required()
 
-    fun connect(): PlatformConnection =
-        connector.connect(address ?: throw UsageError("name the platform with --platform http://host:port"))
+    fun connect(): PlatformConnection = connector.connect(address)
 }
 
 /** Reads a duration with its unit, such as `500ms` or `10s`. */
--- a/operator/src/main/kotlin/io/quetzalfield/operator/QuetzalfieldCommand.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/QuetzalfieldCommand.kt
@@ -11,7 +11,7 @@
     override fun helpEpilog(context: Context): String =
         "Exit codes: 0 done, 1 wrong command line, 2 lists refused, 3 another operator has written since, " +
             "4 the platform gave no answer, 5 written but not in force everywhere, 6 request not known, " +
-            "7 history unreadable, 8 promise broken."
+            "7 history refused."
 
     override fun run() = Unit
 }
