Hold the operating page to a first look for each metric's alarm

Cause: METRICS.md points to OPERATING.md for what an alarm wants, and nothing kept the two together. Ruled out: both texts on one page (the operating page is read in trouble, the list of metrics when rules are written). Change: MetricsPageTest looks for each metric of an entry on the operating page. Before: no such test.

--- a/entry/src/test/kotlin/io/quetzalfield/entry/MetricsPageTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/MetricsPageTest.kt
@@ -38,6 +38,12 @@
         assertEquals(registered.sorted(), documented.sorted())
     }
 
+    @Test
+    fun `the operating page says what each alarm wants`() {
+        val page = Files.readString(Path.of("..", "docs", "OPERATING.md"))
+        assertEquals(emptyList(), rows.map { it.first() }.filterNot(page::contains))
+    }
+
     @Test
     fun `each metric has a meaning and an alarm`() {
         assertTrue(rows.all { it.size == 4 && it.none(String::isEmpty) })
