Fold the same bills whichever steward finishes, and move bills to their witness

Change: a steward writes the collected bills with their numbers to the cell before it folds; a sealed ledger carries over what the cell does not contain; each flush stores bills at their first choice of witness and takes back what that one knows to be billed.

--- /dev/null
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/BillHistoryTest.kt
@@ -0,0 +1,223 @@
+package io.quetzalfield.distribution
+
+import arrow.core.Either
+import arrow.core.right
+import io.quetzalfield.decision.HomeScope
+import io.quetzalfield.decision.homeOrder
+import io.quetzalfield.decision.witnessOrder
+import io.quetzalfield.entry.Bill
+import io.quetzalfield.entry.BillLedger
+import io.quetzalfield.entry.BillWitness
+import io.quetzalfield.entry.BilledKeys
+import io.quetzalfield.entry.NumberedBill
+import io.quetzalfield.entry.WitnessOutcome
+import io.quetzalfield.entry.WitnessedBills
+import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.FailureDomainId
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.InstanceKind
+import io.quetzalfield.model.ListedInstance
+import io.quetzalfield.model.RequestKey
+import io.quetzalfield.peer.wire.BillRecord
+import io.quetzalfield.peer.wire.WitnessReply.Verdict
+import io.quetzalfield.platform.bills.ACCOUNT_BILL_PREFIX
+import io.quetzalfield.platform.bills.AccountBill
+import io.quetzalfield.platform.bills.BILL_CELL_PREFIX
+import io.quetzalfield.platform.bills.BillCell
+import io.quetzalfield.platform.bills.BillTotals
+import io.quetzalfield.platform.bills.CellState
+import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
+import io.quetzalfield.steward.bills.BillFolding
+import io.quetzalfield.steward.bills.BillWitnesses
+import io.quetzalfield.steward.bills.CollectedBill
+import io.quetzalfield.steward.bills.WitnessError
+import io.quetzalfield.steward.bills.WitnessedSender
+import org.junit.jupiter.api.Tag
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+private const val HISTORIES = 10_000
+private const val STEPS = 40
+private const val KEYS = 12
+
+/** Random histories of bills, with one entry lost at a time, in one thread. */
+class BillHistoryTest {
+    /** One run of an entry. */
+    private inner class Entry(val number: Int, run: Int, val fleet: Fleet) : BillWitness {
+        val incarnation = Incarnation(InstanceId("entry-$number"), "$run")
+        val listed = ListedInstance(
+            id = incarnation.instance,
+            kind = InstanceKind.ENTRY,
+            address = "http://h:$number",
+            failureDomain = FailureDomainId("domain-${number % 3}"),
+            start = incarnation.start,
+        )
+        val keys = BilledKeys()
+        val witnessed = WitnessedBills(keys)
+        val ledger = BillLedger(incarnation, fleet.store, this, keys)
+        private val holders = mutableMapOf<Pair<Incarnation, Long>, Entry>()
+
+        /** Whether a witness did not answer since the last flush. */
+        var hasFault = false
+
+        private fun candidates(bill: NumberedBill): List<ListedInstance> =
+            witnessOrder(bill.bill.scope, listed.id, listed.failureDomain, fleet.live.map(Entry::listed))
+
+        private fun isFaulty(): Boolean = (!isFlushing && fleet.random.nextInt(16) == 0).also {
+            hasFault =
+                hasFault || it
+        }
+
+        private var isFlushing = false
+
+        fun flush() {
+            isFlushing = true
+            hasFault = false
+            ledger.flush()
+            isFlushing = false
+        }
+
+        override fun store(bill: NumberedBill): WitnessOutcome {
+            val record = BillRecord.newBuilder()
+                .setIncarnation("${bill.incarnation}")
+                .setSequence(bill.sequence)
+                .setClientAccount(bill.bill.account.value)
+                .setRequestKey(bill.bill.key.value)
+                .setTokens(1)
+                .build()
+            val candidates = candidates(bill)
+            for (candidate in candidates) {
+                val isLast = candidate == candidates.last()
+                if (!isLast && isFaulty()) continue
+                val entry = fleet.live.first { it.listed == candidate }
+                val verdict = entry.witnessed.store(record)
+                if (!isLast && isFaulty()) continue
+                if (verdict == Verdict.STORED) holders[bill.incarnation to bill.sequence] = entry
+                return WitnessOutcome.valueOf(verdict.name)
+            }
+            return WitnessOutcome.UNREACHABLE
+        }
+
+        override fun forget(incarnation: Incarnation, sequence: Long) =
+            fleet.live.forEach { it.witnessed.forget(incarnation, sequence) }
+
+        override fun isMisplaced(bill: NumberedBill): Boolean =
+            holders[bill.incarnation to bill.sequence]?.let { it.listed != candidates(bill).first() } ?: false
+    }
+
+    private inner class Fleet(val random: Random) : BillWitnesses {
+        val store = InMemoryKeyValueStore()
+        private var runs = 0
+        val live = MutableList(4) { Entry(it, runs++, this) }
+        val billedKeys = mutableListOf<String>()
+        val ended = mutableListOf<Incarnation>()
+        private val mistaken = mutableSetOf<Entry>()
+        private val folding = BillFolding(store, this)
+
+        override fun senders(): List<WitnessedSender> = emptyList()
+
+        override fun collect(incarnation: Incarnation, sequence: Long): Either<WitnessError, List<CollectedBill>> =
+            live.flatMap { it.witnessed.collect(incarnation, sequence) }
+                .map { CollectedBill(it.sequence, ClientAccountId(it.clientAccount), BillTotals(1, 1, 0)) }
+                .distinctBy(CollectedBill::sequence)
+                .right()
+
+        override fun forget(incarnation: Incarnation) =
+            live.forEach { it.witnessed.forget(incarnation, Long.MAX_VALUE) }
+
+        /**
+         * Each key is an account of its own, so that the sums tell each key's bills. A key comes again until one entry
+         * has ended since, but not two: then those who knew it may be gone.
+         */
+        fun answer() {
+            val key = "key-${ended.size - random.nextInt(2)}-${random.nextInt(KEYS)}"
+            val bill = Bill(ClientAccountId(key), RequestKey(key), tokens = 1, priceMicros = 0)
+            val home = homeOrder(HomeScope(key), live.map(Entry::listed)).first()
+            if (live.first { it.listed == home }.ledger.record(bill)) billedKeys += key
+        }
+
+        fun flush(entry: Entry = live.random(random)) {
+            if (random.nextInt(3) == 0) store.loseAnswers(random.nextInt(3))
+            entry.flush()
+        }
+
+        fun fold(incarnation: Incarnation) {
+            if (random.nextInt(3) == 0) store.loseAnswers(random.nextInt(4))
+            folding.fold(incarnation)
+        }
+
+        /**
+         * Ends an entry; the others notice it, and a steward folds it, before the next one ends. Entries that were
+         * sealed by mistake, or whose witness did not answer, have flushed since; those sealed by mistake are folded.
+         */
+        fun kill() {
+            if (store.isDown) return
+            val entry = live.random(random)
+            store.loseAnswers(0)
+            ended.forEach(folding::fold)
+            live.filter { it in mistaken || it.hasFault }.forEach { faulty -> repeat(3) { faulty.flush() } }
+            mistaken.clear()
+            live -= entry
+            live.forEach { it.flush() }
+            ended += entry.ledger.incarnation
+            fold(ended.last())
+            ended.forEach(folding::fold)
+            live += Entry(entry.number, runs++, this)
+        }
+
+        /** Lets a steward take a living entry for ended. */
+        fun sealByMistake() {
+            val entry = live.random(random)
+            mistaken += entry
+            ended += entry.ledger.incarnation
+            fold(ended.last())
+        }
+
+        fun finish() {
+            store.loseAnswers(0)
+            store.isDown = false
+            repeat(4) { live.forEach { it.flush() } }
+            repeat(2) { ended.forEach(folding::fold) }
+        }
+
+        fun billed(): Map<String, Long> {
+            val sums = mutableMapOf<String, Long>()
+            fun add(key: String, totals: BillTotals) = sums.merge(key, totals.answers, Long::plus)
+            for (stored in store.list(ACCOUNT_BILL_PREFIX).getOrNull().orEmpty()) {
+                add(stored.key.removePrefix(ACCOUNT_BILL_PREFIX), AccountBill.fromJson(stored.value).totals)
+            }
+            store.list(BILL_CELL_PREFIX).getOrNull().orEmpty()
+                .map { BillCell.fromJson(it.value) }
+                .filter { it.state != CellState.FOLDED }
+                .forEach { cell -> cell.totals.forEach { (account, totals) -> add(account.value, totals) } }
+            return sums
+        }
+    }
+
+    private fun run(seed: Int, mayMistake: Boolean): Pair<Map<String, Long>, List<String>> {
+        val random = Random(seed)
+        val fleet = Fleet(random)
+        repeat(STEPS) {
+            when (random.nextInt(if (mayMistake) 14 else 13)) {
+                in 0..6 -> fleet.answer()
+                in 7..9 -> fleet.flush()
+                10 -> fleet.store.isDown = !fleet.store.isDown
+                in 11..12 -> fleet.kill()
+                else -> fleet.sealByMistake()
+            }
+        }
+        fleet.finish()
+        return fleet.billed() to fleet.billedKeys
+    }
+
+    @Tag("known-red")
+    @Test
+    fun `each billed key is billed once`() {
+        for (seed in 1..HISTORIES) {
+            val (sums, keys) = run(seed, mayMistake = seed % 2 == 0)
+            assertEquals(keys.associateWith { 1L }, sums.filterValues { it > 0 }, "seed $seed")
+        }
+    }
+}
--- a/entry/src/main/kotlin/io/quetzalfield/entry/BillBook.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/BillBook.kt
@@ -53,6 +53,19 @@
         }
     }
 
+    /** Lets the bill [sequence], which is not known to be stored, count no more. */
+    fun takeBack(sequence: Long): Unit = synchronized(lock) {
+        val line = lines[sequence] ?: return
+        if (line.progress == BillProgress.VOID) return
+        line.progress = BillProgress.VOID
+        if (sequence <= decided.sequence) decided = decided.without(line.bill)
+    }
+
+    /** Notes the revision of a stored cell whose content is not known to be the present one. */
+    fun noteRevision(revision: StoreRevision) {
+        storedRevision = revision
+    }
+
     /** Notes that the store has the bills up to [sequence]. */
     fun noteStored(sequence: Long, revision: StoreRevision) {
         storedRevision = revision
@@ -60,6 +73,10 @@
         synchronized(lock) { lines.headMap(sequence, true).clear() }
     }
 
+    /** The bills after [sequence] that count. */
+    fun billedAfter(sequence: Long): List<NumberedBill> =
+        linesAfter(sequence, BillProgress.WITNESSED) + linesAfter(sequence, BillProgress.LOCAL)
+
     /** The bills after [sequence] that have come as far as [progress]. */
     fun linesAfter(sequence: Long, progress: BillProgress): List<NumberedBill> = synchronized(lock) {
         lines.tailMap(sequence, false)
@@ -75,6 +92,11 @@
         return copy(sequence = sequence + 1, totals = totals + (bill.account to sum))
     }
 
+    private fun BillCell.without(bill: Bill): BillCell {
+        val sum = (totals[bill.account] ?: BillTotals()) + BillTotals(-1, -bill.tokens, -bill.priceMicros)
+        return copy(totals = totals + (bill.account to sum))
+    }
+
     private companion object {
         const val NOTHING_STORED = -1L
     }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/BillLedger.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/BillLedger.kt
@@ -11,6 +11,7 @@
 import io.quetzalfield.platform.bills.BillTotals
 import io.quetzalfield.platform.bills.CellState
 import io.quetzalfield.platform.bills.billCellKey
+import io.quetzalfield.platform.bills.billingIncarnation
 import org.apache.logging.log4j.LogManager
 
 /** Counts what becomes of bills. */
@@ -44,16 +45,12 @@
     public val incarnation: Incarnation get() = book.incarnation
 
     /** Records [bill] unless its key was billed before; `true` when it was recorded. */
-    public fun record(bill: Bill): Boolean {
-        val owner = book.incarnation
-        if (!billedKeys.begin(bill.accountKey, owner)) return false
-        return settle(bill, owner)
-    }
+    public fun record(bill: Bill): Boolean = billedKeys.begin(bill.accountKey, process) && settle(bill)
 
     /** The sums of [account] that the present incarnation has billed. */
     public fun totals(account: ClientAccountId): BillTotals = book.cell.totals[account] ?: BillTotals()
 
-    private fun settle(bill: Bill, owner: Incarnation): Boolean {
+    private fun settle(bill: Bill): Boolean {
         val current = book
         val numbered = current.open(bill)
         val outcome = witness.store(numbered)
@@ -61,30 +58,37 @@
         if (outcome == WitnessOutcome.SEALED) {
             current.decide(numbered.sequence, BillProgress.VOID)
             replaceBook(current)
-            return settle(bill, owner)
+            return settle(bill)
         }
-        val isOwned = billedKeys.finish(bill.accountKey, owner) && outcome != WitnessOutcome.ALREADY_BILLED
+        val isOwned = billedKeys.finish(bill.accountKey, process) && outcome != WitnessOutcome.ALREADY_BILLED
         val kept = if (outcome == WitnessOutcome.STORED) BillProgress.WITNESSED else BillProgress.LOCAL
         current.decide(numbered.sequence, if (isOwned) kept else BillProgress.VOID)
         return isOwned
     }
 
     /**
-     * Writes the cell if it has changed since it was last stored, and tells the witnesses what is stored. Bills whose
-     * witness has gone are stored at another one.
+     * Writes the cell if it has changed since it was last stored, and tells the witnesses what is stored. Before that,
+     * bills that are not at their first choice of witness are stored there.
      */
     public fun flush(): Unit = synchronized(flushLock) {
         val current = book
+        current.linesAfter(current.storedSequence, BillProgress.WITNESSED)
+            .filter(witness::isMisplaced)
+            .forEach { storeAgain(current, it) }
         val written = current.cell
         if (written.sequence != current.storedSequence) write(current, written)
         if (current !== book) return
         witness.forget(current.incarnation, current.storedSequence.coerceAtLeast(0))
-        current.linesAfter(current.storedSequence, BillProgress.WITNESSED)
-            .filter { witness.isLost(it.incarnation, it.sequence) }
-            .forEach { observer.onOutcome(witness.store(it)) }
         synchronized(bookLock) { sealedBooks.toList() }.forEach(::carryOver)
     }
 
+    /** Stores [bill] at its first choice of witness, which may know what a fault has hidden: that the key is billed. */
+    private fun storeAgain(current: BillBook, bill: NumberedBill) {
+        val outcome = witness.store(bill)
+        observer.onOutcome(outcome)
+        if (outcome == WitnessOutcome.ALREADY_BILLED) current.takeBack(bill.sequence)
+    }
+
     private fun write(current: BillBook, written: BillCell) {
         val result = store.compareAndSwap(billCellKey(current.incarnation), current.storedRevision, written.toJson())
         if (result !is Either.Right) return
@@ -94,36 +98,34 @@
         }
     }
 
-    /** Tells an earlier write of this ledger, whose answer was lost, from a seal. */
+    /** Tells an earlier write of this ledger, whose answer was lost and which the next flush repeats, from a seal. */
     private fun resolveConflict(current: BillBook, stored: StoredValue?) {
         val cell = stored?.let { BillCell.fromJson(it.value) }
-        if (cell?.state == CellState.OPEN) current.noteStored(cell.sequence, stored.modified) else replaceBook(current)
+        if (cell?.state == CellState.OPEN) current.noteRevision(stored.modified) else replaceBook(current)
     }
 
     private fun replaceBook(sealed: BillBook): Unit = synchronized(bookLock) {
         if (book !== sealed) return
         bookCount++
         sealedBooks += sealed
-        book = BillBook(process.copy(start = "${process.start}$COUNTER_SEPARATOR$bookCount"))
+        book = BillBook(process.billingIncarnation(bookCount))
         logger.warn("the bill cell of {} was sealed; bills go on under {}", sealed.incarnation, book.incarnation)
     }
 
     /**
-     * Bills again, under the new incarnation, what the sealed cell lacks and no witness kept. What a witness kept is
-     * collected from there.
+     * Bills again, under the new incarnation, what the sealed cell does not contain once its later bills are collected.
      */
     private fun carryOver(sealed: BillBook) {
         if (sealed.hasPending) return
         val stored = store.read(billCellKey(sealed.incarnation)).getOrElse { return }
         val cell = stored?.let { BillCell.fromJson(it.value) }
-        if (cell?.state == CellState.OPEN) return
+        if (cell?.state == CellState.OPEN || cell?.state == CellState.SEALED) return
         synchronized(bookLock) { sealedBooks.remove(sealed) }
         if (cell == null) return
-        sealed.linesAfter(cell.sequence, BillProgress.LOCAL).forEach { settle(it.bill, sealed.incarnation) }
+        sealed.billedAfter(cell.sequence).filterNot { it.sequence in cell }.forEach { settle(it.bill) }
     }
 
     private companion object {
-        const val COUNTER_SEPARATOR = "."
         val logger = LogManager.getLogger(BillLedger::class.java)
     }
 }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/BillWitness.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/BillWitness.kt
@@ -25,8 +25,11 @@
     /** Tells the witnesses that [incarnation] lives and has stored its bills through [sequence]. */
     public fun forget(incarnation: Incarnation, sequence: Long)
 
-    /** Whether the entry that keeps the bill [sequence] of [incarnation] has gone or is leaving. */
-    public fun isLost(incarnation: Incarnation, sequence: Long): Boolean
+    /**
+     * Whether another entry than the one that keeps [bill] should: the keeper has gone, or it was not the first choice.
+     * A retry finds the key at the first choice only.
+     */
+    public fun isMisplaced(bill: NumberedBill): Boolean
 
     public companion object {
         /** A witness that nobody answers for. */
@@ -35,7 +38,7 @@
 
             override fun forget(incarnation: Incarnation, sequence: Long): Unit = Unit
 
-            override fun isLost(incarnation: Incarnation, sequence: Long): Boolean = false
+            override fun isMisplaced(bill: NumberedBill): Boolean = false
         }
     }
 }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/PeerBillWitness.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/PeerBillWitness.kt
@@ -31,8 +31,7 @@
 
     override fun store(bill: NumberedBill): WitnessOutcome {
         val record = bill.toRecord()
-        val candidates = witnessOrder(bill.bill.scope, ownInstance, ownDomain, fleet.entries)
-        for (candidate in candidates.take(MAXIMUM_TRIES)) {
+        for (candidate in candidates(bill).take(MAXIMUM_TRIES)) {
             val outcome = storeAt(candidate, record)
             if (outcome == WitnessOutcome.STORED) holdersOf(bill.incarnation)[bill.sequence] = candidate
             if (outcome != WitnessOutcome.UNREACHABLE) return outcome
@@ -63,11 +62,15 @@
         kept.keys.removeIf { it <= sequence }
     }
 
-    override fun isLost(incarnation: Incarnation, sequence: Long): Boolean {
-        val holder = holdersOf(incarnation)[sequence] ?: return false
-        return fleet.entries.none { it.incarnation == holder.incarnation }
+    override fun isMisplaced(bill: NumberedBill): Boolean {
+        val holder = holdersOf(bill.incarnation)[bill.sequence] ?: return false
+        val firstChoice = candidates(bill).firstOrNull() ?: return false
+        return holder.incarnation != firstChoice.incarnation
     }
 
+    private fun candidates(bill: NumberedBill): List<ListedInstance> =
+        witnessOrder(bill.bill.scope, ownInstance, ownDomain, fleet.entries)
+
     private fun holdersOf(incarnation: Incarnation): ConcurrentHashMap<Long, ListedInstance> =
         holders.computeIfAbsent(incarnation) { ConcurrentHashMap() }
 
--- a/entry/src/main/kotlin/io/quetzalfield/entry/WitnessedBills.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/WitnessedBills.kt
@@ -6,6 +6,7 @@
 import io.quetzalfield.peer.wire.BillRecord
 import io.quetzalfield.peer.wire.WitnessReply.Verdict
 import io.quetzalfield.peer.wire.WitnessedIncarnation
+import io.quetzalfield.platform.bills.billingProcess
 import java.util.TreeMap
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.ComparableTimeMark
@@ -50,7 +51,7 @@
             if (holding.isSealed) return@withHolding Verdict.SEALED
             holding.lastHeard = timeSource.markNow()
             val key = AccountKey(ClientAccountId(record.clientAccount), RequestKey(record.requestKey))
-            if (!billedKeys.witness(key, sender)) return@withHolding Verdict.ALREADY_BILLED
+            if (!billedKeys.witness(key, sender.billingProcess)) return@withHolding Verdict.ALREADY_BILLED
             holding.records[record.sequence] = record
             Verdict.STORED
         }
--- a/steward/src/main/kotlin/io/quetzalfield/steward/bills/BillFolding.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/bills/BillFolding.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.steward.bills
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
@@ -14,6 +15,7 @@
 import io.quetzalfield.platform.bills.BillCell
 import io.quetzalfield.platform.bills.BillTotals
 import io.quetzalfield.platform.bills.CellState
+import io.quetzalfield.platform.bills.SequenceRange
 import io.quetzalfield.platform.bills.accountBillKey
 import io.quetzalfield.platform.bills.billCellKey
 import kotlin.time.Clock
@@ -26,7 +28,8 @@
  *
  * Every step may be repeated, by any steward and at any time, after a lost answer as well as after a crash:
  * 1. the cell is sealed, so that no write of its incarnation succeeds any more;
- * 2. the bills that are not in the cell are collected from the witnesses, which refuse later ones;
+ * 2. the bills that are not in the cell are collected from the witnesses, which refuse later ones, and are added to
+ *    the cell together with their numbers, so that all stewards go on with the same sums;
  * 3. the sums are added to each account, together with the name of the incarnation;
  * 4. the cell is marked as folded.
  */
@@ -36,16 +39,16 @@
     private val clock: Clock = Clock.System,
 ) {
     /** Folds [incarnation] if its cell is not folded yet. */
-    public fun fold(incarnation: Incarnation): Either<FoldError, Unit> {
-        val sealed = seal(incarnation).getOrElse { return it.left() }
-        if (sealed.cell.state == CellState.FOLDED) return Unit.right()
-        val late = witnesses.collect(incarnation, sealed.cell.sequence)
-            .getOrElse { return FoldError(it.message).left() }
-        val sums = sealed.cell.totals.merge(late)
-        for ((account, totals) in sums) {
+    public fun fold(incarnation: Incarnation): Either<FoldError, Unit> = seal(incarnation)
+        .flatMap { sealed -> collect(incarnation, sealed) }
+        .flatMap { collected -> addToAccounts(incarnation, collected) }
+
+    private fun addToAccounts(incarnation: Incarnation, collected: SealedCell): Either<FoldError, Unit> {
+        if (collected.cell.state == CellState.FOLDED) return Unit.right()
+        for ((account, totals) in collected.cell.totals) {
             addToAccount(incarnation, account, totals).onLeft { return it.left() }
         }
-        return markFolded(incarnation, sealed).onRight { witnesses.forget(incarnation) }
+        return markFolded(incarnation, collected).onRight { witnesses.forget(incarnation) }
     }
 
     private class SealedCell(val cell: BillCell, val revision: StoreRevision)
@@ -62,6 +65,26 @@
         return FoldError("the cell of $incarnation keeps changing").left()
     }
 
+    /** Adds the bills that the witnesses keep to the cell, unless that was done before. */
+    private fun collect(incarnation: Incarnation, sealed: SealedCell): Either<FoldError, SealedCell> {
+        if (sealed.cell.state != CellState.SEALED) return sealed.right()
+        val late = witnesses.collect(incarnation, sealed.cell.sequence)
+            .getOrElse { return FoldError(it.message).left() }
+        val collected = sealed.cell.copy(
+            totals = sealed.cell.totals.merge(late),
+            state = CellState.COLLECTED,
+            collected = SequenceRange.covering(late.map(CollectedBill::sequence)),
+        )
+        store.compareAndSwap(billCellKey(incarnation), sealed.revision, collected.toJson())
+        val stored = store.read(billCellKey(incarnation)).getOrElse { return FoldError(it.message).left() }
+        val cell = stored?.let { BillCell.fromJson(it.value) }
+        return if (stored != null && cell?.state in DECIDED) {
+            SealedCell(checkNotNull(cell), stored.modified).right()
+        } else {
+            FoldError("what was collected for $incarnation is not written").left()
+        }
+    }
+
     /**
      * Adds [totals] unless the account has them. The cell is looked at after the account was read: as long as it
      * exists, the account names every incarnation that was folded into it, and once that name is dropped, the account
@@ -77,16 +100,16 @@
             val stored = store.read(key).getOrElse { return FoldError(it.message).left() }
             val bill = stored?.let { AccountBill.fromJson(it.value) } ?: AccountBill()
             if (incarnation in bill.folded) return Unit.right()
-            if (!isSealed(incarnation)) return FoldError("$incarnation was folded by another").left()
+            if (!isCollected(incarnation)) return FoldError("$incarnation was folded by another").left()
             val revision = stored?.modified ?: StoreRevision.Absent
             store.compareAndSwap(key, revision, bill.fold(incarnation, totals).toJson())
         }
         return FoldError("the bill of $account keeps changing").left()
     }
 
-    private fun isSealed(incarnation: Incarnation): Boolean {
+    private fun isCollected(incarnation: Incarnation): Boolean {
         val stored = store.read(billCellKey(incarnation)).getOrElse { return false }
-        return stored.cellState() == CellState.SEALED
+        return stored.cellState() == CellState.COLLECTED
     }
 
     private fun markFolded(incarnation: Incarnation, sealed: SealedCell): Either<FoldError, Unit> {
@@ -98,7 +121,7 @@
             .getOrElse { return FoldError(it.message).left() }
         val isFolded = when (swap) {
             is SwapResult.Swapped -> true
-            is SwapResult.Conflict -> swap.current.cellState() != CellState.SEALED
+            is SwapResult.Conflict -> swap.current.cellState() != CellState.COLLECTED
         }
         return if (isFolded) Unit.right() else FoldError("the cell of $incarnation has changed").left()
     }
@@ -113,5 +136,6 @@
 
     private companion object {
         const val MAXIMUM_TRIES = 5
+        val DECIDED = setOf(CellState.COLLECTED, CellState.FOLDED)
     }
 }
--- a/steward/src/main/kotlin/io/quetzalfield/steward/bills/EndedIncarnations.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/bills/EndedIncarnations.kt
@@ -8,6 +8,7 @@
 import io.quetzalfield.platform.bills.BILL_CELL_PREFIX
 import io.quetzalfield.platform.bills.BillCell
 import io.quetzalfield.platform.bills.CellState
+import io.quetzalfield.platform.bills.billingProcess
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.TimeSource
@@ -33,13 +34,13 @@
         val unfolded = cells.filterValues { it != CellState.FOLDED }.keys + (senders.keys - cells.keys)
         val liveStarts = listed.filter { it.kind == InstanceKind.ENTRY }.map { it.id to it.start }.toSet()
         val missing = unfolded.filterNot { incarnation ->
-            val isListed = (incarnation.instance to incarnation.start.substringBefore(COUNTER_SEPARATOR)) in liveStarts
+            val isListed = (incarnation.instance to incarnation.billingProcess.start) in liveStarts
             val isHeard = senders[incarnation].orEmpty().any { it.silence < goneAfter }
-            cells[incarnation] != CellState.SEALED && (isListed || isHeard)
+            cells[incarnation] !in CLOSED && (isListed || isHeard)
         }
         missingSince.keys.retainAll(missing.toSet())
         missing.forEach { missingSince.getOrPut(it, timeSource::markNow) }
-        return missing.filter { cells[it] == CellState.SEALED || isGone(it) }.toSet()
+        return missing.filter { cells[it] in CLOSED || isGone(it) }.toSet()
     }
 
     private fun isGone(incarnation: Incarnation): Boolean = missingSince.getValue(incarnation).elapsedNow() >= goneAfter
@@ -52,6 +53,6 @@
         ?.toMap()
 
     private companion object {
-        const val COUNTER_SEPARATOR = '.'
+        val CLOSED = setOf(CellState.SEALED, CellState.COLLECTED)
     }
 }
