--- /dev/null
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/MixedHistoriesTest.kt
@@ -0,0 +1,266 @@
+package io.quetzalfield.distribution
+
+import arrow.core.Either
+import arrow.core.right
+import io.quetzalfield.entry.Bill
+import io.quetzalfield.entry.BillLedger
+import io.quetzalfield.entry.BillWitness
+import io.quetzalfield.entry.BilledKeys
+import io.quetzalfield.entry.ListsHolder
+import io.quetzalfield.entry.NumberedBill
+import io.quetzalfield.entry.WitnessOutcome
+import io.quetzalfield.entry.WitnessedBills
+import io.quetzalfield.history.History
+import io.quetzalfield.history.HistoryEvent
+import io.quetzalfield.history.HistoryHeader
+import io.quetzalfield.history.HistoryTime
+import io.quetzalfield.history.listsChecker
+import io.quetzalfield.model.ClientPlanList
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.ListsRevision
+import io.quetzalfield.model.ModelList
+import io.quetzalfield.model.OperatorLists
+import io.quetzalfield.model.RequestKey
+import io.quetzalfield.peer.wire.BillRecord
+import io.quetzalfield.peer.wire.WitnessReply.Verdict
+import io.quetzalfield.platform.DutyLease
+import io.quetzalfield.platform.bills.BillTotals
+import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
+import io.quetzalfield.steward.bills.BillFolding
+import io.quetzalfield.steward.bills.BillWitnesses
+import io.quetzalfield.steward.bills.CollectedBill
+import io.quetzalfield.steward.bills.WitnessError
+import io.quetzalfield.steward.bills.WitnessedSender
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import net.jqwik.api.ShrinkingMode
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/**
+ * A bounded random search over the code that keeps the state. jqwik prints the seed of a failure; each history
+ * follows from its own number alone.
+ */
+class MixedHistoriesTest {
+    @Provide
+    fun seeds(): Arbitrary<Long> = Arbitraries.longs()
+
+    /** An entry as far as bills go; each is the witness of the other. */
+    private class BillingEntry(val incarnation: Incarnation, store: InMemoryKeyValueStore, peer: () -> BillingEntry) {
+        private val billedKeys = BilledKeys()
+        val witnessed = WitnessedBills(billedKeys)
+        val ledger = BillLedger(incarnation, store, PeerWitness(peer), billedKeys)
+    }
+
+    private class PeerWitness(private val peer: () -> BillingEntry) : BillWitness {
+        override fun store(bill: NumberedBill): WitnessOutcome = when (peer().witnessed.store(bill.toRecord())) {
+            Verdict.STORED -> WitnessOutcome.STORED
+            Verdict.ALREADY_BILLED -> WitnessOutcome.ALREADY_BILLED
+            Verdict.SEALED -> WitnessOutcome.SEALED
+            else -> WitnessOutcome.UNREACHABLE
+        }
+
+        override fun forget(incarnation: Incarnation, sequence: Long) = peer().witnessed.forget(incarnation, sequence)
+
+        override fun isLost(incarnation: Incarnation, sequence: Long): Boolean = false
+    }
+
+    /**
+     * Two entries and a steward; [step] does one random thing. A history has either pauses, in which a steward folds
+     * the bills of an entry that goes on, or a crash. After the crash the other entry stores its bills before anything
+     * else happens: with the witness gone too, a bill of that moment has no copy.
+     */
+    private class BillingWorld(private val random: Random = Random(0)) {
+        val store = InMemoryKeyValueStore()
+        val keys = mutableSetOf<RequestKey>()
+        val steps = mutableListOf<String>()
+        private var starts = 0
+        private val hasPauses = random.nextBoolean()
+        private var hasCrashed = false
+        private val ended = mutableSetOf<Incarnation>()
+        private val entries = mutableListOf<BillingEntry>()
+
+        init {
+            repeat(2) { entries += start(it) }
+        }
+
+        private fun start(number: Int) = BillingEntry(
+            incarnation = Incarnation(InstanceId("entry-$number"), "${starts++}"),
+            store = store,
+            peer = { entries[1 - number] },
+        )
+
+        fun step() {
+            val number = random.nextInt(entries.size)
+            when (random.nextInt(10)) {
+                in 0..4 -> record(entries[number])
+
+                in 5..6 -> flush(entries[number])
+
+                7 -> loseAnswers(random.nextInt(3))
+
+                else -> if (hasPauses) {
+                    pause(number)
+                } else if (!hasCrashed) {
+                    crash(number)
+                }
+            }
+        }
+
+        private fun record(entry: BillingEntry) = record(entry, RequestKey("key-${random.nextInt(12)}"))
+
+        private fun record(entry: BillingEntry, key: RequestKey) {
+            keys += key
+            steps += "${entry.ledger.incarnation} bills $key"
+            entry.ledger.record(Bill(Account.WORKSHOP.id, key, tokens = 10, priceMicros = 100))
+        }
+
+        private fun flush(entry: BillingEntry) {
+            steps += "${entry.ledger.incarnation} flushes"
+            entry.ledger.flush()
+        }
+
+        private fun loseAnswers(count: Int) {
+            steps += "$count answers will be lost"
+            store.loseAnswers(count)
+        }
+
+        /** The steward takes the paused entry to have ended, and folds its bills. */
+        fun pause(number: Int) {
+            fold(entries[number].ledger.incarnation)
+        }
+
+        fun flush(number: Int) = flush(entries[number])
+
+        fun record(number: Int, key: String) = record(entries[number], RequestKey(key))
+
+        fun crash(number: Int) {
+            steps += "${entries[number].ledger.incarnation} crashes"
+            hasCrashed = true
+            ended += entries[number].ledger.incarnation
+            entries[number] = start(number)
+            flush(entries[1 - number])
+        }
+
+        /** Folds what has ended, or is taken to have ended because its entry is paused. */
+        private fun fold(incarnation: Incarnation): Boolean {
+            steps += "$incarnation is folded"
+            ended += incarnation
+            return BillFolding(store, Collector(entries)).fold(incarnation).isRight()
+        }
+
+        /** All is quiet: ended incarnations are folded, and the entries store what they have. */
+        fun settle(): BillTotals {
+            store.loseAnswers(0)
+            ended.toList().forEach { check(fold(it)) }
+            repeat(SETTLING_ROUNDS) { entries.forEach { it.ledger.flush() } }
+            return storedBills(store)[Account.WORKSHOP.id] ?: BillTotals()
+        }
+    }
+
+    private companion object {
+        const val SETTLING_ROUNDS = 3
+    }
+
+    private class Collector(private val entries: List<BillingEntry>) : BillWitnesses {
+        override fun senders(): List<WitnessedSender> = emptyList()
+
+        override fun collect(incarnation: Incarnation, sequence: Long): Either<WitnessError, List<CollectedBill>> =
+            entries.flatMap { it.witnessed.collect(incarnation, sequence) }
+                .map { CollectedBill(it.sequence, Account.WORKSHOP.id, BillTotals(1, it.tokens, it.priceMicros)) }
+                .distinctBy(CollectedBill::sequence)
+                .right()
+
+        override fun forget(incarnation: Incarnation) =
+            entries.forEach { it.witnessed.forget(incarnation, Long.MAX_VALUE) }
+    }
+
+    @Property(tries = 5_000, shrinking = ShrinkingMode.OFF)
+    fun `each key is billed once whatever crashes, pauses or gets lost`(@ForAll("seeds") seed: Long) {
+        val random = Random(seed)
+        val world = BillingWorld(random)
+        repeat(random.nextInt(40)) { world.step() }
+        assertEquals(world.keys.size.toLong(), world.settle().answers, "history $seed: ${world.steps}")
+    }
+
+    @Test
+    fun `a bill is kept when its entry wakes after a fold and the witness has been restarted`() {
+        val world = BillingWorld()
+        world.record(0, "before")
+        world.flush(0)
+        world.pause(0)
+        world.crash(1)
+        world.record(0, "after")
+        assertEquals(2, world.settle().answers, "${world.steps}")
+    }
+
+    @Property(tries = 3_000, shrinking = ShrinkingMode.OFF)
+    fun `lists that come in any order never revert and reach all entries`(@ForAll("seeds") seed: Long) {
+        val random = Random(seed)
+        val holders = List(4) { ListsHolder() }
+        val events = mutableListOf<HistoryEvent>()
+        val newest = random.nextLong(1, 8)
+        (1..newest).mapTo(events) { HistoryEvent.ListsAccepted(HistoryTime(it), listsOf(it)) }
+        fun see(time: Long) = holders.forEachIndexed { index, holder ->
+            val entry = Incarnation(InstanceId("entry-$index"), "1")
+            events += HistoryEvent.RevisionSeen(HistoryTime(time), entry, holder.revision)
+        }
+        repeat(random.nextInt(30)) { step ->
+            if (random.nextBoolean()) {
+                holders.random(random).adopt(listsOf(random.nextLong(1, newest + 1)))
+            } else {
+                holders.random(random).adoptJson(holders.random(random).toJson())
+            }
+            see(10L + step)
+        }
+        holders.random(random).adopt(listsOf(newest))
+        repeat(2) { holders.forEach { from -> holders.forEach { it.adoptJson(from.toJson()) } } }
+        see(time = 10_000)
+        assertEquals(emptyList(), listsChecker.violations(History(HistoryHeader(), events)), "history $seed")
+    }
+
+    private fun listsOf(revision: Long) = OperatorLists(ListsRevision(revision), ClientPlanList(), ModelList())
+
+    @Property(tries = 4_000, shrinking = ShrinkingMode.OFF)
+    fun `a duty has one holder at a time whatever pauses, fails or gets lost`(@ForAll("seeds") seed: Long) {
+        val random = Random(seed)
+        val time = TestTimeSource()
+        val store = InMemoryKeyValueStore(time)
+        val leases = List(3) { index ->
+            DutyLease(store, "duty", Incarnation(InstanceId("steward-$index"), "1"), 6.seconds, 2.seconds, time)
+        }
+        var highest = 0L
+        repeat(random.nextInt(60)) {
+            when (random.nextInt(8)) {
+                in 0..3 -> leases.random(random).renew()
+                4 -> time += random.nextInt(9_000).milliseconds
+                5 -> store.isDown = random.nextBoolean()
+                6 -> store.loseAnswers(random.nextInt(3))
+                else -> leases.random(random).release()
+            }
+            val held = leases.mapNotNull { it.held }
+            assertTrue(held.size <= 1, "history $seed: ${held.size} holders")
+            val number = held.firstOrNull()?.fencingNumber ?: highest
+            assertTrue(number >= highest, "history $seed: fencing number $number after $highest")
+            highest = number
+        }
+    }
+}
+
+private fun NumberedBill.toRecord(): BillRecord = BillRecord.newBuilder()
+    .setIncarnation("$incarnation")
+    .setSequence(sequence)
+    .setClientAccount(bill.account.value)
+    .setRequestKey(bill.key.value)
+    .setTokens(bill.tokens)
+    .setPriceMicros(bill.priceMicros)
+    .build()
