--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/BillHistoryTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/BillHistoryTest.kt
@@ -33,7 +33,6 @@
 import io.quetzalfield.steward.bills.CollectedBill
 import io.quetzalfield.steward.bills.WitnessError
 import io.quetzalfield.steward.bills.WitnessedSender
-import org.junit.jupiter.api.Tag
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -212,7 +211,6 @@
         return fleet.billed() to fleet.billedKeys
     }
 
-    @Tag("known-red")
     @Test
     fun `each billed key is billed once`() {
         for (seed in 1..HISTORIES) {
