Notice a seal while idle, offer local bills to their witness again, isolate suspects by fresh views

Ruled out for the last: that the probe of a dying runner counts wrongly (mended before, still seen). Change: an idle flush reads the own cell; flushes offer local bills again; views are taken when the runner is chosen.

--- a/entry/src/main/kotlin/io/quetzalfield/entry/BillLedger.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/BillLedger.kt
@@ -75,8 +75,9 @@
         current.linesAfter(current.storedSequence, BillProgress.WITNESSED)
             .filter(witness::isMisplaced)
             .forEach { storeAgain(current, it) }
+        current.linesAfter(current.storedSequence, BillProgress.LOCAL).forEach { storeAgain(current, it) }
         val written = current.cell
-        if (written.sequence != current.storedSequence) write(current, written)
+        if (written.sequence != current.storedSequence) write(current, written) else checkOpen(current)
         if (current !== book) return
         witness.forget(current.incarnation, current.storedSequence.coerceAtLeast(0))
         synchronized(bookLock) { sealedBooks.toList() }.forEach(::carryOver)
@@ -98,6 +99,13 @@
         }
     }
 
+    /** Notices a seal while there is nothing to write, so that the next bill is not numbered under a sealed cell. */
+    private fun checkOpen(current: BillBook) {
+        val stored = store.read(billCellKey(current.incarnation)).getOrElse { return }
+        val cell = stored?.let { BillCell.fromJson(it.value) }
+        if (cell?.state != CellState.OPEN) replaceBook(current)
+    }
+
     /** Tells an earlier write of this ledger, whose answer was lost and which the next flush repeats, from a seal. */
     private fun resolveConflict(current: BillBook, stored: StoredValue?) {
         val cell = stored?.let { BillCell.fromJson(it.value) }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionAttempts.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionAttempts.kt
@@ -118,10 +118,10 @@
 
     private fun attemptIsolated(run: CompletionRun): AttemptResult {
         val patience = minOf(run.timeLeft, run.call.plan.firstTokenDeadlineMilliseconds.milliseconds)
-        val views = loads.views()
         var runner: RunnerView? = null
         try {
-            runner = guard.isolate(patience, { excluded -> choose(run, views, excluded) }, views)
+            // The views are taken anew each time: a runner that another suspect has left may have crashed under it.
+            runner = guard.isolate(patience, { excluded -> choose(run, loads.views(), excluded) }, loads.views())
                 ?: return AttemptResult.Failed(noRunner(run))
             metrics.countIsolatedRun()
             return attempt(run, runner)
