Let exactly one of two entries keep a key that both billed while they were parted

Ruled out: a lost copy at a killed witness (the sums of all three accounts were short by one, as many as callers were in flight; the witness of the frozen entry lived). Change: who is told 'already billed' leaves the key to the other; a key whose witness is being asked again counts as pending, so that of two that ask at once the lower incarnation keeps it.

--- a/entry/src/main/kotlin/io/quetzalfield/entry/BillLedger.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/BillLedger.kt
@@ -60,12 +60,17 @@
             replaceBook(current)
             return settle(bill)
         }
-        val isOwned = billedKeys.finish(bill.accountKey, process) && outcome != WitnessOutcome.ALREADY_BILLED
+        val isOwned = isOwnedAfter(outcome, bill)
         val kept = if (outcome == WitnessOutcome.STORED) BillProgress.WITNESSED else BillProgress.LOCAL
         current.decide(numbered.sequence, if (isOwned) kept else BillProgress.VOID)
         return isOwned
     }
 
+    private fun settleAgain(bill: Bill) {
+        billedKeys.resume(bill.accountKey, process)
+        settle(bill)
+    }
+
     /**
      * Writes the cell if it has changed since it was last stored, and tells the witnesses what is stored. Before that,
      * bills that are not at their first choice of witness are stored there.
@@ -85,9 +90,18 @@
 
     /** Stores [bill] at its first choice of witness, which may know what a fault has hidden: that the key is billed. */
     private fun storeAgain(current: BillBook, bill: NumberedBill) {
+        billedKeys.resume(bill.bill.accountKey, process)
         val outcome = witness.store(bill)
         observer.onOutcome(outcome)
-        if (outcome == WitnessOutcome.ALREADY_BILLED) current.takeBack(bill.sequence)
+        if (!isOwnedAfter(outcome, bill.bill)) current.takeBack(bill.sequence)
+    }
+
+    /** Whether the key of [bill] is this process's own after its witness has answered [outcome]. */
+    private fun isOwnedAfter(outcome: WitnessOutcome, bill: Bill): Boolean {
+        val isOwned = billedKeys.finish(bill.accountKey, process)
+        if (outcome != WitnessOutcome.ALREADY_BILLED) return isOwned
+        billedKeys.yieldTo(bill.accountKey, process)
+        return false
     }
 
     private fun write(current: BillBook, written: BillCell) {
@@ -130,7 +144,7 @@
         if (cell?.state == CellState.OPEN || cell?.state == CellState.SEALED) return
         synchronized(bookLock) { sealedBooks.remove(sealed) }
         if (cell == null) return
-        sealed.billedAfter(cell.sequence).filterNot { it.sequence in cell }.forEach { settle(it.bill) }
+        sealed.billedAfter(cell.sequence).filterNot { it.sequence in cell }.forEach { settleAgain(it.bill) }
     }
 
     private companion object {
--- a/entry/src/main/kotlin/io/quetzalfield/entry/BilledKeys.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/BilledKeys.kt
@@ -14,7 +14,8 @@
     largestSize: Int = 262_144,
     timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
-    private class Ownership(val owner: Incarnation, val isPending: Boolean)
+    /** Who billed a key; [owner] is `null` where only this is known: that it was not this entry. */
+    private class Ownership(val owner: Incarnation?, val isPending: Boolean)
 
     private val owners = ExpiringMap<AccountKey, Ownership>(retention, largestSize, timeSource)
 
@@ -35,6 +36,19 @@
         isOwned
     }
 
+    /** Says that the witness of [owner]'s bill for [key] is asked again and has not answered yet. */
+    public fun resume(key: AccountKey, owner: Incarnation): Unit = owners.access(key) { slot ->
+        if (slot.value?.owner == owner) slot.value = Ownership(owner, isPending = true)
+    }
+
+    /**
+     * Leaves [key] to another that has billed it, so that the other is not told in turn that [owner] has. The key stays
+     * billed.
+     */
+    public fun yieldTo(key: AccountKey, owner: Incarnation): Unit = owners.access(key) { slot ->
+        if (slot.value?.owner == owner) slot.value = Ownership(owner = null, isPending = false)
+    }
+
     /**
      * Takes [key] for [sender], for which this entry is a witness; `false` when it is billed by another.
      *
@@ -43,7 +57,8 @@
      */
     public fun witness(key: AccountKey, sender: Incarnation): Boolean = owners.access(key) { slot ->
         val current = slot.value
-        val isFree = current == null || current.owner == sender || (current.isPending && sender < current.owner)
+        val owner = current?.owner
+        val isFree = owner == null || owner == sender || (current.isPending && sender < owner)
         if (isFree) slot.value = Ownership(sender, isPending = false)
         isFree
     }
--- a/entry/src/test/kotlin/io/quetzalfield/entry/BillLedgerTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/BillLedgerTest.kt
@@ -132,6 +132,33 @@
         }
     }
 
+    /** Two entries that billed the same key while neither reached the other. */
+    @Nested
+    inner class Partition {
+        private val keys = listOf("entry-1", "entry-2").associateWith { BilledKeys() }
+        private val witnesses = keys.mapValues { (_, known) -> FakeWitness(WitnessedBills(known)) }
+
+        private fun ledgerOf(name: String, other: String) =
+            BillLedger(incarnation(name), store, witnesses.getValue(other), keys.getValue(name))
+
+        private val ledgers = listOf(ledgerOf("entry-1", "entry-2"), ledgerOf("entry-2", "entry-1"))
+
+        private fun billedAnswers(): Long =
+            listOf("entry-1", "entry-2").sumOf { cell(incarnation(it))?.totals?.get(ACCOUNT)?.answers ?: 0 }
+
+        @Test
+        fun `the key is billed once when they meet again, whichever asks first`() {
+            for (order in listOf(ledgers, ledgers.reversed())) {
+                val before = billedAnswers()
+                witnesses.values.forEach { it.isReachable = false }
+                ledgers.forEach { it.record(bill("key-$before")) }
+                witnesses.values.forEach { it.isReachable = true }
+                order.forEach(BillLedger::flush)
+                assertEquals(before + 1, billedAnswers())
+            }
+        }
+    }
+
     @Nested
     inner class Seal {
         @Test
