Never say 'not run' of a request whose home gave no answer

Cause: found by reading: a forward with an unknown outcome, followed by a local refusal, was reported as not run.

--- a/entry/src/main/kotlin/io/quetzalfield/entry/CallerRequests.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CallerRequests.kt
@@ -56,18 +56,28 @@
 
     private fun complete(call: CompletionCall, text: CompletionText, channel: AnswerChannel, isForwarded: Boolean) {
         val home = if (isForwarded || !call.isKeyedByCaller) null else forwarder.otherHome(call.homeScope)
-        if (home != null && isAnsweredBy(home, call, text, channel)) return
+        val outcome = home?.let { forward(it, call, text, channel) } ?: ForwardOutcome.NOT_SENT
+        if (outcome == ForwardOutcome.SERVED || outcome == ForwardOutcome.CUT) return
         val writer = CompletionWriter(channel, call.body.stream, call.id.value)
-        completions.complete(call, text.body, writer).fold(writer::fail, writer::finish)
+        completions.complete(call, text.body, writer)
+            .mapLeft { failure -> failure.afterForward(outcome) }
+            .fold(writer::fail, writer::finish)
     }
 
-    /** Forwards the call; `false` when nothing came of it, so that this entry may run the repeatable request itself. */
-    private fun isAnsweredBy(
+    /** The failure as the caller may be told it: a request that may run at its home is not said to have not run. */
+    private fun RequestFailure.afterForward(outcome: ForwardOutcome): RequestFailure {
+        if (this !is NotRun || outcome != ForwardOutcome.UNKNOWN) return this
+        val message = "the entry that keeps the key gave no answer; then: $message"
+        return MayHaveRun(InterruptionReason.CONNECTION_LOST, message)
+    }
+
+    /** Forwards the call; after [ForwardOutcome.NOT_SENT] and UNKNOWN this entry runs the repeatable request itself. */
+    private fun forward(
         home: ListedInstance,
         call: CompletionCall,
         text: CompletionText,
         channel: AnswerChannel,
-    ): Boolean {
+    ): ForwardOutcome {
         val request = ForwardRequest.newBuilder()
             .setClientAccount(call.account.id.value)
             .setRequestKey(call.key.value)
@@ -77,16 +87,9 @@
             .setBody(ByteString.copyFromUtf8(text.body))
             .build()
         val timeout = call.plan.deadlineMilliseconds.milliseconds
-        return when (forwarder.forward(home, request, timeout, channel)) {
-            ForwardOutcome.SERVED -> true
-
-            ForwardOutcome.NOT_SENT, ForwardOutcome.UNKNOWN -> false
-
-            ForwardOutcome.CUT -> {
-                reportCut(home, call, channel)
-                true
-            }
-        }
+        val outcome = forwarder.forward(home, request, timeout, channel)
+        if (outcome == ForwardOutcome.CUT) reportCut(home, call, channel)
+        return outcome
     }
 
     private fun reportCut(home: ListedInstance, call: CompletionCall, channel: AnswerChannel) {
