Give every account a smallest share of four requests in flight while runners are short

Cause: an account within its fair share was refused 43% (Kalkkila) and 18% (Association) of its requests while another flooded, as its share of the present requests was often one and its usual bursts are more. Ruled out: a share by a moving average of the requests in flight: it lets the flooding account in for the length of the average, which the tests of admission forbid. Change: AdmissionLimits.smallestShare, 4.

--- a/decision/src/main/kotlin/io/quetzalfield/decision/AdmissionControl.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/AdmissionControl.kt
@@ -46,6 +46,8 @@
  * @property normalPressure the same for requests of normal priority.
  * @property backgroundPressure the same for background requests.
  * @property largestPressure pressure from which nothing is admitted.
+ * @property smallestShare requests in flight that every account may have below [largestPressure]; a smaller fair share
+ * would refuse the usual bursts of an account whose demand is within it on average.
  * @property activeFor time since its last request in which an account counts as one that shares the capacity.
  * @property retryAfter least time after which a refused caller is told to come back.
  */
@@ -54,6 +56,7 @@
     val normalPressure: Double = 1.0,
     val backgroundPressure: Double = 0.8,
     val largestPressure: Double = 2.0,
+    val smallestShare: Double = 4.0,
     val activeFor: Duration = 5.seconds,
     val retryAfter: Duration = 1.seconds,
 ) {
@@ -151,7 +154,7 @@
         if (request.pressure < limits.freePressure(request.priority)) return false
         if (request.pressure >= limits.largestPressure) return true
         val capacity = inFlight.get() / request.pressure
-        val fairShare = (capacity * account.weight / totalWeight).coerceAtLeast(1.0)
+        val fairShare = (capacity * account.weight / totalWeight).coerceAtLeast(limits.smallestShare)
         return account.inFlight + 1 > fairShare
     }
 
