--- a/platform-fakes/src/test/kotlin/io/quetzalfield/platform/fakes/DutyLeaseTest.kt
+++ b/platform-fakes/src/test/kotlin/io/quetzalfield/platform/fakes/DutyLeaseTest.kt
@@ -182,9 +182,31 @@
             }
             assertNotNull(second.held("bills"))
         }
+
+        @Test
+        fun `the calls for a duty hardly grow with the stewards`() {
+            val rosters = List(LARGE_FLEET) { number ->
+                val lease =
+                    DutyLease(store, "bills", Incarnation(InstanceId("$number"), "1"), TIME_TO_LIVE, MARGIN, time)
+                DutyRoster(mapOf("bills" to lease), rank = { number }, patience = 1.seconds, time)
+            }
+            val seconds = 2 * LARGE_FLEET
+            var calls = 0L
+            repeat(seconds) { second ->
+                if (second == LARGE_FLEET) calls = store.callCount
+                rosters.forEach(DutyRoster::renew)
+                time += 1.seconds
+            }
+            assertTrue(
+                (store.callCount - calls) / LARGE_FLEET < 10,
+                "${store.callCount - calls} calls in $LARGE_FLEET s",
+            )
+            assertNotNull(rosters.first().held("bills"))
+        }
     }
 
     private companion object {
+        const val LARGE_FLEET = 200
         val TIME_TO_LIVE = 6.seconds
         val MARGIN = 2.seconds
     }
