--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/BillSurvivalTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/BillSurvivalTest.kt
@@ -2,14 +2,14 @@
 
 import io.quetzalfield.model.ClientAccountId
 import io.quetzalfield.model.InstanceId
-import io.quetzalfield.platform.HttpInstanceDirectory
-import io.quetzalfield.platform.bills.AccountBill
-import io.quetzalfield.platform.bills.BILL_CELL_PREFIX
-import io.quetzalfield.platform.bills.BillCell
-import io.quetzalfield.platform.bills.CellState
-import io.quetzalfield.platform.bills.accountBillKey
-import io.quetzalfield.platform.engine.ChatCompletionRequest
-import io.quetzalfield.platform.engine.ChatMessage
+import io.quetzalfield.store.HttpInstanceDirectory
+import io.quetzalfield.store.bills.AccountBill
+import io.quetzalfield.store.bills.BILL_CELL_PREFIX
+import io.quetzalfield.store.bills.BillCell
+import io.quetzalfield.store.bills.CellState
+import io.quetzalfield.store.bills.accountBillKey
+import io.quetzalfield.store.engine.ChatCompletionRequest
+import io.quetzalfield.store.engine.ChatMessage
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/CrashingRequestTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/CrashingRequestTest.kt
@@ -1,7 +1,7 @@
 package io.quetzalfield.distribution
 
-import io.quetzalfield.platform.engine.ChatCompletionRequest
-import io.quetzalfield.platform.engine.ChatMessage
+import io.quetzalfield.store.engine.ChatCompletionRequest
+import io.quetzalfield.store.engine.ChatMessage
 import io.quetzalfield.standins.CallerClient
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/FaultFleet.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/FaultFleet.kt
@@ -24,9 +24,9 @@
 import io.quetzalfield.operator.ListsStore
 import io.quetzalfield.operator.StoredLists
 import io.quetzalfield.operator.load
-import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
-import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
-import io.quetzalfield.platform.fakes.PlatformLink
+import io.quetzalfield.store.fakes.InMemoryInstanceDirectory
+import io.quetzalfield.store.fakes.InMemoryKeyValueStore
+import io.quetzalfield.store.fakes.PlatformLink
 import io.quetzalfield.standins.CallerClient
 import io.quetzalfield.standins.RunnerStandIn
 import io.quetzalfield.standins.ServiceStandIn
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/ListsEdits.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/ListsEdits.kt
@@ -7,13 +7,13 @@
 import io.quetzalfield.model.OperatorLists
 import io.quetzalfield.model.SigningKey
 import io.quetzalfield.model.VersionState
-import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.bills.ACCOUNT_BILL_PREFIX
-import io.quetzalfield.platform.bills.AccountBill
-import io.quetzalfield.platform.bills.BILL_CELL_PREFIX
-import io.quetzalfield.platform.bills.BillCell
-import io.quetzalfield.platform.bills.BillTotals
-import io.quetzalfield.platform.bills.CellState
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.bills.ACCOUNT_BILL_PREFIX
+import io.quetzalfield.store.bills.AccountBill
+import io.quetzalfield.store.bills.BILL_CELL_PREFIX
+import io.quetzalfield.store.bills.BillCell
+import io.quetzalfield.store.bills.BillTotals
+import io.quetzalfield.store.bills.CellState
 
 internal fun OperatorLists.withVersion(name: String, edit: (ModelVersion) -> ModelVersion): OperatorLists {
     val reference = checkNotNull(ModelVersionReference.parse(name))
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/MixedHistoriesTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/MixedHistoriesTest.kt
@@ -24,9 +24,9 @@
 import io.quetzalfield.model.RequestKey
 import io.quetzalfield.peer.wire.BillRecord
 import io.quetzalfield.peer.wire.WitnessReply.Verdict
-import io.quetzalfield.platform.DutyLease
-import io.quetzalfield.platform.bills.BillTotals
-import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
+import io.quetzalfield.store.DutyLease
+import io.quetzalfield.store.bills.BillTotals
+import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import io.quetzalfield.steward.bills.BillFolding
 import io.quetzalfield.steward.bills.BillWitnesses
 import io.quetzalfield.steward.bills.CollectedBill
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/OperatingPageTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/OperatingPageTest.kt
@@ -1,9 +1,9 @@
 package io.quetzalfield.distribution
 
 import io.quetzalfield.model.InstanceId
-import io.quetzalfield.platform.HttpInstanceDirectory
-import io.quetzalfield.platform.engine.ChatCompletionRequest
-import io.quetzalfield.platform.engine.ChatMessage
+import io.quetzalfield.store.HttpInstanceDirectory
+import io.quetzalfield.store.engine.ChatCompletionRequest
+import io.quetzalfield.store.engine.ChatMessage
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/RecordedCaller.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/RecordedCaller.kt
@@ -11,9 +11,9 @@
 import io.quetzalfield.model.RequestId
 import io.quetzalfield.model.RequestKey
 import io.quetzalfield.model.SessionId
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.engine.ChatCompletionRequest
-import io.quetzalfield.platform.engine.ChatMessage
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.engine.ChatCompletionRequest
+import io.quetzalfield.store.engine.ChatMessage
 import io.quetzalfield.standins.CallerAnswer
 import io.quetzalfield.standins.CallerClient
 import io.quetzalfield.standins.CallerReply
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/SmallFleet.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/SmallFleet.kt
@@ -1,7 +1,7 @@
 package io.quetzalfield.distribution
 
-import io.quetzalfield.platform.EtcdGatewayKeyValueStore
-import io.quetzalfield.platform.HttpInstanceDirectory
+import io.quetzalfield.store.EtcdGatewayKeyValueStore
+import io.quetzalfield.store.HttpInstanceDirectory
 import io.quetzalfield.standins.CallerClient
 import java.nio.file.Files
 import java.nio.file.Path
--- a/entry/src/main/kotlin/io/quetzalfield/entry/AnswerAssembler.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/AnswerAssembler.kt
@@ -3,11 +3,11 @@
 import io.quetzalfield.model.AttemptId
 import io.quetzalfield.model.InterruptionReason
 import io.quetzalfield.model.MayHaveRun
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.engine.COMPLETION_ID_PREFIX
-import io.quetzalfield.platform.engine.ChatCompletionChunk
-import io.quetzalfield.platform.engine.STREAM_END
-import io.quetzalfield.platform.engine.TokenUsage
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.engine.COMPLETION_ID_PREFIX
+import io.quetzalfield.store.engine.ChatCompletionChunk
+import io.quetzalfield.store.engine.STREAM_END
+import io.quetzalfield.store.engine.TokenUsage
 import kotlinx.serialization.SerializationException
 import okhttp3.Response
 import okhttp3.sse.EventSource
--- a/entry/src/main/kotlin/io/quetzalfield/entry/AnswerChannel.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/AnswerChannel.kt
@@ -6,7 +6,7 @@
 import io.javalin.http.Context
 import io.quetzalfield.model.RequestFailure
 import io.quetzalfield.peer.wire.ForwardReply
-import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.store.PlatformJson
 import java.io.IOException
 
 /** The way back to whoever sent a request: its caller, or the entry that forwarded it. */
--- a/entry/src/main/kotlin/io/quetzalfield/entry/AnswerObserver.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/AnswerObserver.kt
@@ -2,7 +2,7 @@
 
 import io.quetzalfield.decision.LearningRouting
 import io.quetzalfield.decision.VersionLatency
-import io.quetzalfield.platform.AnswerToRate
+import io.quetzalfield.store.AnswerToRate
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
--- a/entry/src/main/kotlin/io/quetzalfield/entry/BillBook.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/BillBook.kt
@@ -1,9 +1,9 @@
 package io.quetzalfield.entry
 
 import io.quetzalfield.model.Incarnation
-import io.quetzalfield.platform.StoreRevision
-import io.quetzalfield.platform.bills.BillCell
-import io.quetzalfield.platform.bills.BillTotals
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.bills.BillCell
+import io.quetzalfield.store.bills.BillTotals
 import java.util.TreeMap
 
 /** How far a bill of a [BillBook] has come. */
--- a/entry/src/main/kotlin/io/quetzalfield/entry/BillLedger.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/BillLedger.kt
@@ -4,14 +4,14 @@
 import arrow.core.getOrElse
 import io.quetzalfield.model.ClientAccountId
 import io.quetzalfield.model.Incarnation
-import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.StoredValue
-import io.quetzalfield.platform.SwapResult
-import io.quetzalfield.platform.bills.BillCell
-import io.quetzalfield.platform.bills.BillTotals
-import io.quetzalfield.platform.bills.CellState
-import io.quetzalfield.platform.bills.billCellKey
-import io.quetzalfield.platform.bills.billingIncarnation
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.StoredValue
+import io.quetzalfield.store.SwapResult
+import io.quetzalfield.store.bills.BillCell
+import io.quetzalfield.store.bills.BillTotals
+import io.quetzalfield.store.bills.CellState
+import io.quetzalfield.store.bills.billCellKey
+import io.quetzalfield.store.bills.billingIncarnation
 import org.apache.logging.log4j.LogManager
 
 /** Counts what becomes of bills. */
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CallerApi.kt
@@ -16,7 +16,7 @@
 import io.quetzalfield.model.RefusalReason
 import io.quetzalfield.model.RequestFailure
 import io.quetzalfield.model.SessionId
-import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.store.PlatformJson
 import kotlinx.serialization.KSerializer
 import java.security.MessageDigest
 import java.util.HexFormat
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CallerMessages.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CallerMessages.kt
@@ -1,8 +1,8 @@
 package io.quetzalfield.entry
 
 import io.quetzalfield.model.FailureDomainId
-import io.quetzalfield.platform.engine.ChatChunkChoice
-import io.quetzalfield.platform.engine.TokenUsage
+import io.quetzalfield.store.engine.ChatChunkChoice
+import io.quetzalfield.store.engine.TokenUsage
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
--- a/entry/src/main/kotlin/io/quetzalfield/entry/ClaimLeases.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ClaimLeases.kt
@@ -3,9 +3,9 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import io.quetzalfield.platform.KeyValueError
-import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.LeaseId
+import io.quetzalfield.store.KeyValueError
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.LeaseId
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionAttempts.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionAttempts.kt
@@ -20,7 +20,7 @@
 import io.quetzalfield.model.RequestFailure
 import io.quetzalfield.model.RequestPriority
 import io.quetzalfield.model.RunnerId
-import io.quetzalfield.platform.engine.StreamOptions
+import io.quetzalfield.store.engine.StreamOptions
 import java.util.UUID
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionReader.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionReader.kt
@@ -15,8 +15,8 @@
 import io.quetzalfield.model.RefusalReason
 import io.quetzalfield.model.RequestId
 import io.quetzalfield.model.RequestKey
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.engine.ChatCompletionRequest
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.engine.ChatCompletionRequest
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import java.util.UUID
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionRun.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionRun.kt
@@ -11,8 +11,8 @@
 import io.quetzalfield.model.RequestFailure
 import io.quetzalfield.model.RequestFingerprint
 import io.quetzalfield.model.RunnerId
-import io.quetzalfield.platform.engine.ChatCompletionRequest
-import io.quetzalfield.platform.engine.prefixHash
+import io.quetzalfield.store.engine.ChatCompletionRequest
+import io.quetzalfield.store.engine.prefixHash
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeMark
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionWriter.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionWriter.kt
@@ -2,15 +2,15 @@
 
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.RequestFailure
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.engine.COMPLETION_ID_PREFIX
-import io.quetzalfield.platform.engine.ChatChoice
-import io.quetzalfield.platform.engine.ChatChunkChoice
-import io.quetzalfield.platform.engine.ChatCompletion
-import io.quetzalfield.platform.engine.ChatCompletionChunk
-import io.quetzalfield.platform.engine.ChatDelta
-import io.quetzalfield.platform.engine.ChatMessage
-import io.quetzalfield.platform.engine.STREAM_END
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.engine.COMPLETION_ID_PREFIX
+import io.quetzalfield.store.engine.ChatChoice
+import io.quetzalfield.store.engine.ChatChunkChoice
+import io.quetzalfield.store.engine.ChatCompletion
+import io.quetzalfield.store.engine.ChatCompletionChunk
+import io.quetzalfield.store.engine.ChatDelta
+import io.quetzalfield.store.engine.ChatMessage
+import io.quetzalfield.store.engine.STREAM_END
 import io.quetzalfield.support.eventFrame
 
 /** Writes a completion to [channel], as a stream of events or as one body. */
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryControl.kt
@@ -17,7 +17,7 @@
 import io.quetzalfield.peer.wire.FingerprintList
 import io.quetzalfield.peer.wire.ObservationsReply
 import io.quetzalfield.peer.wire.VersionStop
-import io.quetzalfield.platform.RatingService
+import io.quetzalfield.store.RatingService
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
 import io.quetzalfield.support.status.StatusSection
--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryStatus.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryStatus.kt
@@ -5,7 +5,7 @@
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.RequestId
 import io.quetzalfield.model.RunnerId
-import io.quetzalfield.platform.bills.BillTotals
+import io.quetzalfield.store.bills.BillTotals
 import io.quetzalfield.support.status.DaemonStatus
 import io.quetzalfield.support.status.RequestExplanation
 import io.quetzalfield.support.status.RequestSummary
--- a/entry/src/main/kotlin/io/quetzalfield/entry/FleetView.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/FleetView.kt
@@ -4,7 +4,7 @@
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
 import io.quetzalfield.model.ServiceId
-import io.quetzalfield.platform.InstanceDirectory
+import io.quetzalfield.store.InstanceDirectory
 import java.util.concurrent.ConcurrentHashMap
 
 /**
--- a/entry/src/main/kotlin/io/quetzalfield/entry/ListsDistribution.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ListsDistribution.kt
@@ -9,9 +9,9 @@
 import io.quetzalfield.peer.wire.ListsOffer
 import io.quetzalfield.peer.wire.ListsPush
 import io.quetzalfield.peer.wire.ListsReply
-import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.LISTS_KEY
-import io.quetzalfield.platform.StoreWatch
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.LISTS_KEY
+import io.quetzalfield.store.StoreWatch
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RatingPipeline.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RatingPipeline.kt
@@ -3,9 +3,9 @@
 import io.quetzalfield.decision.Escalation
 import io.quetzalfield.decision.RatedAnswer
 import io.quetzalfield.model.AttemptId
-import io.quetzalfield.platform.AnswerToRate
-import io.quetzalfield.platform.Rating
-import io.quetzalfield.platform.RatingService
+import io.quetzalfield.store.AnswerToRate
+import io.quetzalfield.store.Rating
+import io.quetzalfield.store.RatingService
 import java.util.concurrent.ArrayBlockingQueue
 
 /**
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RunnerLoadTracker.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RunnerLoadTracker.kt
@@ -9,8 +9,8 @@
 import io.quetzalfield.model.ListedInstance
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.RunnerId
-import io.quetzalfield.platform.engine.EngineCacheEvent
-import io.quetzalfield.platform.engine.EngineLoad
+import io.quetzalfield.store.engine.EngineCacheEvent
+import io.quetzalfield.store.engine.EngineLoad
 import okhttp3.OkHttpClient
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
--- a/entry/src/main/kotlin/io/quetzalfield/entry/RunnerPoller.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/RunnerPoller.kt
@@ -3,9 +3,9 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.engine.EngineCacheEvent
-import io.quetzalfield.platform.engine.EngineLoad
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.engine.EngineCacheEvent
+import io.quetzalfield.store.engine.EngineLoad
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.ListSerializer
--- a/entry/src/main/kotlin/io/quetzalfield/entry/ServiceCallService.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ServiceCallService.kt
@@ -5,7 +5,7 @@
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.RequestFailure
 import io.quetzalfield.model.RequestKey
-import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.store.KeyValueStore
 
 /** Calls plain services; operations under a ticket or under the caller's key run at most once. */
 public class ServiceCallService(
--- a/entry/src/main/kotlin/io/quetzalfield/entry/ServiceClient.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ServiceClient.kt
@@ -11,7 +11,7 @@
 import io.quetzalfield.model.RefusalReason
 import io.quetzalfield.model.RequestFailure
 import io.quetzalfield.model.ServiceId
-import io.quetzalfield.platform.engine.REQUEST_ID_HEADER
+import io.quetzalfield.store.engine.REQUEST_ID_HEADER
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
 import okhttp3.Request
--- a/entry/src/main/kotlin/io/quetzalfield/entry/WitnessedBills.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/WitnessedBills.kt
@@ -6,7 +6,7 @@
 import io.quetzalfield.peer.wire.BillRecord
 import io.quetzalfield.peer.wire.WitnessReply.Verdict
 import io.quetzalfield.peer.wire.WitnessedIncarnation
-import io.quetzalfield.platform.bills.billingProcess
+import io.quetzalfield.store.bills.billingProcess
 import java.util.TreeMap
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.ComparableTimeMark
--- a/entry/src/test/kotlin/io/quetzalfield/entry/EntryControlPeersTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/EntryControlPeersTest.kt
@@ -14,7 +14,7 @@
 import io.quetzalfield.peer.PeerServer
 import io.quetzalfield.peer.wire.FingerprintList
 import io.quetzalfield.peer.wire.ObservationsReply
-import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
+import io.quetzalfield.store.fakes.InMemoryInstanceDirectory
 import kotlin.test.AfterTest
 import kotlin.test.BeforeTest
 import kotlin.test.Test
--- a/entry/src/test/kotlin/io/quetzalfield/entry/KeyedCompletionsTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/KeyedCompletionsTest.kt
@@ -16,8 +16,8 @@
 import io.quetzalfield.model.RequestId
 import io.quetzalfield.model.RequestKey
 import io.quetzalfield.model.VersionId
-import io.quetzalfield.platform.engine.ChatCompletionRequest
-import io.quetzalfield.platform.engine.TokenUsage
+import io.quetzalfield.store.engine.ChatCompletionRequest
+import io.quetzalfield.store.engine.TokenUsage
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
--- a/entry/src/test/kotlin/io/quetzalfield/entry/ListsDistributionTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/ListsDistributionTest.kt
@@ -11,11 +11,11 @@
 import io.quetzalfield.model.OperatorLists
 import io.quetzalfield.peer.PeerClients
 import io.quetzalfield.peer.PeerServer
-import io.quetzalfield.platform.LISTS_KEY
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.StoreRevision
-import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
-import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
+import io.quetzalfield.store.LISTS_KEY
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.fakes.InMemoryInstanceDirectory
+import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import kotlin.random.Random
--- a/entry/src/test/kotlin/io/quetzalfield/entry/PeerServiceFixtures.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/PeerServiceFixtures.kt
@@ -5,7 +5,7 @@
 import io.quetzalfield.decision.LearningRouting
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.peer.PeerClients
-import io.quetzalfield.platform.fakes.InMemoryRatingService
+import io.quetzalfield.store.fakes.InMemoryRatingService
 import okhttp3.OkHttpClient
 import kotlin.random.Random
 
--- a/entry/src/test/kotlin/io/quetzalfield/entry/RatingPipelineTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/RatingPipelineTest.kt
@@ -2,9 +2,9 @@
 
 import io.quetzalfield.decision.RatedAnswer
 import io.quetzalfield.model.AttemptId
-import io.quetzalfield.platform.AnswerToRate
-import io.quetzalfield.platform.Rating
-import io.quetzalfield.platform.fakes.InMemoryRatingService
+import io.quetzalfield.store.AnswerToRate
+import io.quetzalfield.store.Rating
+import io.quetzalfield.store.fakes.InMemoryRatingService
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
--- a/entry/src/test/kotlin/io/quetzalfield/entry/ServiceOperationsTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/ServiceOperationsTest.kt
@@ -16,11 +16,11 @@
 import io.quetzalfield.model.RequestFailure
 import io.quetzalfield.model.RequestKey
 import io.quetzalfield.model.ServiceId
-import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.LeaseId
-import io.quetzalfield.platform.StoreRevision
-import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
-import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.LeaseId
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.fakes.InMemoryInstanceDirectory
+import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import io.quetzalfield.support.startHttpServer
 import okhttp3.OkHttpClient
 import org.junit.jupiter.api.Nested
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/DecisionLog.kt
@@ -0,0 +1,20 @@
+package io.quetzalfield.forwarding
+
+import org.apache.logging.log4j.LogManager
+import org.apache.logging.log4j.message.StringMapMessage
+
+/**
+ * Structured log lines of `key="value"` pairs, one for each decision that touches a request or changes what this
+ * process believes. The appender is bounded and drops lines rather than wait; the metrics count what was dropped.
+ */
+public object DecisionLog {
+    private val logger = LogManager.getLogger("io.quetzalfield.decisions")
+
+    /** Writes one line for [event] with [fields]; fields without a value are left out. */
+    public fun write(event: String, vararg fields: Pair<String, Any?>) {
+        if (!logger.isInfoEnabled) return
+        val message = StringMapMessage(fields.size + 1).with("event", event)
+        for ((key, value) in fields) if (value != null) message.with(key, value.toString())
+        logger.info(message)
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -0,0 +1,67 @@
+package io.quetzalfield.forwarding
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.quetzalfield.forwarding.http.AnswerReason
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** Why a request was sent to an endpoint once more. */
+public enum class RepeatReason { CONNECT_FAILED, STATED_NOT_RUN, BROKEN, SILENT, SERVER_ERROR, LOW_CONFIDENCE, RESUMED }
+
+/** Counters and histograms of the data path; every reason starts at zero. */
+public class RouterMetrics(public val registry: PrometheusRegistry = PrometheusRegistry()) {
+    private val answers = Counter.builder().name("quetzalfield_answers_total")
+        .help("Final answers by status class and route kind").labelNames("origin", "status").register(registry)
+    private val own = Counter.builder().name("quetzalfield_own_answers_total")
+        .help("Answers of this instance's own, by reason").labelNames("reason").register(registry)
+    private val repeats = Counter.builder().name("quetzalfield_repeats_total")
+        .help("Requests sent to an endpoint once more, by reason").labelNames("reason").register(registry)
+    private val connections = Counter.builder().name("quetzalfield_endpoint_connections_total")
+        .help("Connections opened to endpoints").register(registry)
+    private val cancelled = Counter.builder().name("quetzalfield_cancelled_total")
+        .help("Requests whose caller left before the final answer").register(registry)
+    private val duration = Histogram.builder().name("quetzalfield_answer_seconds")
+        .help("Time from the whole request to the final answer").register(registry)
+    private val firstEvent = Histogram.builder().name("quetzalfield_first_event_seconds")
+        .help("Time from the whole request to the first event passed on").register(registry)
+
+    init {
+        AnswerReason.entries.forEach { own.initLabelValues(it.name.lowercase()) }
+        RepeatReason.entries.forEach { repeats.initLabelValues(it.name.lowercase()) }
+    }
+
+    /** Counts an answer that came from an endpoint. */
+    public fun countForwarded(status: Int, after: Duration) {
+        answers.labelValues("endpoint", status.toString()).inc()
+        duration.observe(after.toDouble(DurationUnit.SECONDS))
+    }
+
+    /** Counts an answer of this instance's own. */
+    public fun countOwn(status: Int, reason: AnswerReason, after: Duration) {
+        answers.labelValues("own", status.toString()).inc()
+        own.labelValues(reason.name.lowercase()).inc()
+        duration.observe(after.toDouble(DurationUnit.SECONDS))
+    }
+
+    /** Counts a repeated send. */
+    public fun countRepeat(reason: RepeatReason) {
+        repeats.labelValues(reason.name.lowercase()).inc()
+    }
+
+    /** Counts a new connection to an endpoint. */
+    public fun countConnection() {
+        connections.inc()
+    }
+
+    /** Counts a request whose caller has left. */
+    public fun countCancelled() {
+        cancelled.inc()
+    }
+
+    /** Notes how long a stream's first event took. */
+    public fun observeFirstEvent(after: Duration) {
+        firstEvent.observe(after.toDouble(DurationUnit.SECONDS))
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -0,0 +1,345 @@
+package io.quetzalfield.forwarding
+
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.util.concurrent.DefaultThreadFactory
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.quetzalfield.forwarding.choice.RetryAllowance
+import io.quetzalfield.forwarding.choice.VersionSplit
+import io.quetzalfield.forwarding.configuration.ConfigurationHolder
+import io.quetzalfield.forwarding.configuration.RoutingConfiguration
+import io.quetzalfield.forwarding.endpoints.EndpointDescription
+import io.quetzalfield.forwarding.endpoints.EndpointDirectory
+import io.quetzalfield.forwarding.fleet.FleetKeys
+import io.quetzalfield.forwarding.fleet.MemberRecord
+import io.quetzalfield.forwarding.fleet.Members
+import io.quetzalfield.forwarding.fleet.Membership
+import io.quetzalfield.forwarding.fleet.ObservationRecord
+import io.quetzalfield.forwarding.fleet.RolloutDuty
+import io.quetzalfield.forwarding.fleet.RolloutOrder
+import io.quetzalfield.forwarding.fleet.RolloutRecord
+import io.quetzalfield.forwarding.fleet.RolloutReports
+import io.quetzalfield.forwarding.http.CallerConnections
+import io.quetzalfield.forwarding.http.DirectoryDialect
+import io.quetzalfield.forwarding.http.EndpointConnections
+import io.quetzalfield.forwarding.http.HeaderDialect
+import io.quetzalfield.forwarding.http.HttpListeners
+import io.quetzalfield.forwarding.http.PlainAnswer
+import io.quetzalfield.forwarding.http.RoutingContext
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.store.CallTime
+import io.quetzalfield.store.DutyLease
+import io.quetzalfield.store.FollowableStore
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreChange
+import io.quetzalfield.store.StoreFollower
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.StoredValue
+import kotlinx.serialization.SerializationException
+import java.io.ByteArrayOutputStream
+import java.util.UUID
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** What the platform tells the router, from any thread. */
+public interface PlatformListener {
+    /** The operator's configuration has been read. */
+    public fun configurationRead(configuration: RoutingConfiguration)
+
+    /** The configuration last read was the newest when the call at [sent] was sent. */
+    public fun configurationConfirmed(sent: CallTime)
+
+    /** Exactly [endpoints] have entries. */
+    public fun endpointsRead(endpoints: List<EndpointDescription>)
+
+    /** One endpoint's entry has changed. */
+    public fun endpointChanged(endpoint: EndpointDescription)
+
+    /** One endpoint's entry has disappeared. */
+    public fun endpointRemoved(endpoint: io.quetzalfield.forwarding.endpoints.EndpointId)
+
+    /** Exactly these roll-outs are ordered. */
+    public fun rolloutsRead(orders: List<RolloutOrder>)
+}
+
+/** The platform under the router: its store, its words and its feeds. */
+public interface RouterPlatform : AutoCloseable {
+    public val store: FollowableStore
+    public val headers: HeaderDialect
+    public val directory: DirectoryDialect
+    public val rolloutReports: RolloutReports
+
+    /** Starts to report to [listener]. */
+    public fun start(listener: PlatformListener)
+}
+
+/** One instance of the router. */
+public class RouterProgram(
+    private val settings: RouterSettings,
+    private val platform: RouterPlatform,
+    private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) : AutoCloseable {
+    private val incarnation = Incarnation(InstanceId(settings.instance), UUID.randomUUID().toString())
+    private val group = MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("router"), NioIoHandler.newFactory())
+    private val eventLoop: EventLoop = group.next()
+    private val record = MemberRecord(incarnation, settings.callerAddress.toString(), settings.failureDomain)
+    private val members = Members(record)
+    private val metrics = RouterMetrics()
+    private val versions = VersionSplit(timeSource)
+    private val context = RoutingContext(
+        eventLoop = eventLoop,
+        configuration = ConfigurationHolder(timeSource),
+        endpoints = EndpointDirectory(timeSource),
+        dialect = platform.headers,
+        metrics = metrics,
+        retryAllowance = RetryAllowance(settings.retryBounds, timeSource) { members.count },
+        connections = EndpointConnections(eventLoop, timeSource, metrics::countConnection),
+        versions = versions,
+        timeSource = timeSource,
+        confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
+        memberCount = { members.count },
+    )
+    private val callers = CallerConnections()
+    private val membership = Membership(platform.store, record)
+    private val duty = DutyLease(platform.store, ROLLOUT_DUTY, incarnation, DutyTimeToLive, DutyMargin, timeSource)
+    private val rollouts = RolloutDuty(platform.store, duty, platform.rolloutReports, timeSource = timeSource)
+    private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS, DefaultThreadFactory("duties", true))
+    private val stopped = CountDownLatch(1)
+
+    @Volatile
+    private var orders: List<RolloutOrder> = emptyList()
+    private var publishedObservations = HashMap<String, ObservationRecord>()
+
+    /** Opens the addresses and starts to follow the platform. */
+    public fun start() {
+        DecisionLog.write("start", "incarnation" to incarnation, "address" to settings.callerAddress)
+        val listeners = HttpListeners(group)
+        listeners.listenForQuestions(settings.readinessAddress, ::answerReadiness)
+        settings.directoryAddress?.let { listeners.listenForQuestions(it, ::answerDirectory) }
+        listeners.listenForQuestions(ListenAddress(settings.callerAddress.host, settings.metricsPort), ::answerMetrics)
+        listeners.listenForCallers(settings.callerAddress, context, callers)
+        platform.start(Feed())
+        platform.store.follow(FleetKeys.MEMBERS, MemberFollower())
+        platform.store.follow(FleetKeys.STEPS, StepFollower())
+        every(MembershipPeriod, membership::renew)
+        every(DutyPeriod, ::workOnDuties)
+        every(ObservationPeriod, ::publishObservations)
+    }
+
+    /** Leaves the directory, lets what runs end, and returns when this instance may end. */
+    override fun close() {
+        DecisionLog.write("stop", "incarnation" to incarnation, "grace" to settings.shutdownGrace)
+        eventLoop.execute {
+            members.isOwnTaking = false
+            isStopping = true
+        }
+        scheduler.execute {
+            membership.leave()
+            duty.release()
+        }
+        val end = timeSource.markNow() + settings.shutdownGrace - ShutdownMargin
+        eventLoop.schedule({
+            context.isShuttingDown = true
+            callers.closeWhenIdle()
+        }, (settings.addressValidity * CACHED_VALIDITIES).inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        eventLoop.scheduleWithFixedDelay({
+            val isDone = context.isShuttingDown && context.openExchanges == 0 && callers.isEmpty
+            if (isDone || end.hasPassedNow()) stopped.countDown()
+        }, PollPeriod.inWholeMilliseconds, PollPeriod.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        stopped.await()
+        DecisionLog.write("stopped", "open" to context.openExchanges)
+        scheduler.shutdownNow()
+        platform.close()
+    }
+
+    private var isStopping = false
+
+    private val isReady: Boolean
+        get() = !isStopping && context.configuration.current != null && context.isConfigurationCurrent
+
+    private fun answerReadiness(uri: String): PlainAnswer? = when {
+        !platform.directory.isReadinessQuestion(uri) -> null
+        isReady -> PlainAnswer(STATUS_OK)
+        else -> PlainAnswer(STATUS_UNAVAILABLE)
+    }
+
+    private fun answerDirectory(uri: String): PlainAnswer? {
+        platform.directory.decodeQuestion(uri) ?: return null
+        members.isOwnTaking = isReady
+        val addresses = members.addresses()
+        if (addresses.isEmpty()) return PlainAnswer(STATUS_UNAVAILABLE)
+        return PlainAnswer(STATUS_OK, JSON, platform.directory.encodeAnswer(addresses, settings.addressValidity))
+    }
+
+    private fun answerMetrics(uri: String): PlainAnswer? {
+        if (uri != METRICS_PATH) return null
+        val buffer = ByteArrayOutputStream()
+        val format = PrometheusTextFormatWriter.builder().build()
+        format.write(buffer, metrics.registry.scrape())
+        return PlainAnswer(STATUS_OK, format.contentType, buffer.toByteArray())
+    }
+
+    private fun workOnDuties() {
+        val standing = orders
+        if (standing.isEmpty()) return
+        duty.renew()
+        rollouts.work(standing)
+    }
+
+    /** Stores what this instance has seen of versions while a roll-out runs. */
+    private fun publishObservations() {
+        val lease = membership.lease ?: return
+        for (order in orders) {
+            val seen = eventLoop.submit<ObservationRecord> { observationsOf(order) }.get()
+            val key = FleetKeys.observations(order.service, incarnation)
+            if (publishedObservations[key] == seen) continue
+            val json = PlatformJson.encodeToString(ObservationRecord.serializer(), seen)
+            val expected = platform.store.read(key).getOrNull()?.modified ?: StoreRevision.Absent
+            if (platform.store.compareAndSwap(key, expected, json, lease).isRight()) publishedObservations[key] = seen
+        }
+    }
+
+    private fun observationsOf(order: RolloutOrder): ObservationRecord =
+        ObservationRecord(
+            context.observer.observationsOf(order.service).mapValues { (_, seen) ->
+                ObservationRecord.Counts(seen.answers, seen.errors, seen.slow)
+            },
+        )
+
+    private fun every(period: Duration, task: () -> Unit) {
+        val guarded = Runnable {
+            @Suppress("TooGenericExceptionCaught") // Whatever fails once must not end the repetition.
+            try {
+                task()
+            } catch (error: RuntimeException) {
+                DecisionLog.write("periodic_task_failed", "reason" to error)
+            }
+        }
+        scheduler.scheduleWithFixedDelay(guarded, 0, period.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private inner class Feed : PlatformListener {
+        override fun configurationRead(configuration: RoutingConfiguration) = eventLoop.execute {
+            val isTaken = context.configuration.adopt(configuration)
+            DecisionLog.write(
+                "configuration",
+                "version" to configuration.version,
+                "revision" to configuration.revision.value,
+                "routes" to configuration.routes.size,
+                "taken" to isTaken,
+            )
+        }
+
+        override fun configurationConfirmed(sent: CallTime) = eventLoop.execute {
+            context.configuration.confirm(sent.mark, sent.instant)
+        }
+
+        override fun endpointsRead(endpoints: List<EndpointDescription>) = eventLoop.execute {
+            endpoints.forEach(::takeEndpoint)
+            val gone = context.endpoints.retain(endpoints.mapTo(HashSet()) { it.id })
+            DecisionLog.write("endpoints", "listed" to endpoints.size, "vanished" to gone)
+        }
+
+        override fun endpointChanged(endpoint: EndpointDescription) = eventLoop.execute { takeEndpoint(endpoint) }
+
+        override fun endpointRemoved(endpoint: io.quetzalfield.forwarding.endpoints.EndpointId) = eventLoop.execute {
+            val change = context.endpoints.remove(endpoint)
+            DecisionLog.write("endpoint", "endpoint" to endpoint, "change" to change)
+        }
+
+        override fun rolloutsRead(orders: List<RolloutOrder>) {
+            this@RouterProgram.orders = orders
+            eventLoop.execute {
+                for (order in orders) {
+                    versions.takeOrder(order.service, order.target, order.revision.value)
+                    DecisionLog.write(
+                        "rollout_order",
+                        "service" to order.service.value,
+                        "target" to order.target.value,
+                        "ramp" to order.ramp,
+                        "revision" to order.revision.value,
+                    )
+                }
+            }
+        }
+
+        private fun takeEndpoint(endpoint: EndpointDescription) {
+            val change = context.endpoints.update(endpoint)
+            val known = context.endpoints.find(endpoint.id) ?: return
+            context.configuration.current?.services?.get(endpoint.service)?.memoryTokens?.let {
+                known.cachedParts.capacityTokens = it
+            }
+            if (change == io.quetzalfield.forwarding.endpoints.EndpointChange.NONE) return
+            DecisionLog.write("endpoint", "endpoint" to known, "version" to endpoint.version.value, "change" to change)
+        }
+    }
+
+    private inner class MemberFollower : StoreFollower {
+        override fun onState(values: List<StoredValue>) = eventLoop.execute { members.replace(values) }
+
+        override fun onChange(change: StoreChange) = eventLoop.execute { members.take(change) }
+
+        override fun onLost(reason: String) = DecisionLog.write("store_lost", "part" to "members", "reason" to reason)
+    }
+
+    private inner class StepFollower : StoreFollower {
+        override fun onState(values: List<StoredValue>) = values.forEach(::take)
+
+        override fun onChange(change: StoreChange) {
+            change.value?.let(::take)
+        }
+
+        private fun take(value: StoredValue) {
+            val record = try {
+                PlatformJson.decodeFromString(RolloutRecord.serializer(), value.value)
+            } catch (error: SerializationException) {
+                DecisionLog.write("record_unreadable", "key" to value.key, "reason" to error.message)
+                return
+            }
+            eventLoop.execute {
+                if (versions.takeStep(record.step)) {
+                    DecisionLog.write("rollout_step_taken", "step" to record.step, "revision" to value.modified.value)
+                }
+            }
+        }
+    }
+
+    public companion object {
+        /** Path at which metrics are served. */
+        public const val METRICS_PATH: String = "/metrics"
+
+        private const val STATUS_OK = 200
+        private const val STATUS_UNAVAILABLE = 503
+        private const val JSON = "application/json"
+        private const val ROLLOUT_DUTY = "version-rollouts"
+        private const val SCHEDULER_THREADS = 3
+
+        /** Callers may keep an answer with addresses for up to three times its validity. */
+        private const val CACHED_VALIDITIES = 3
+
+        /** Covers the time from the check of the confirmation to the arrival at an endpoint. */
+        private val RevocationMargin = 500.milliseconds
+
+        /** A third of the lease of the membership. */
+        private val MembershipPeriod = 1.seconds
+
+        /** A fraction of the shortest time in which a bad version has to be taken back. */
+        private val DutyPeriod = 300.milliseconds
+        private val ObservationPeriod = 400.milliseconds
+
+        /** A holder that dies is followed after this time. */
+        private val DutyTimeToLive = 2.seconds
+        private val DutyMargin = 500.milliseconds
+
+        /** Left for the end of the process itself. */
+        private val ShutdownMargin = 600.milliseconds
+        private val PollPeriod = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RetryAllowance.kt
@@ -0,0 +1,62 @@
+package io.quetzalfield.forwarding.choice
+
+import io.quetzalfield.model.ServiceId
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+
+/**
+ * Bounds of repeated sends over all instances.
+ *
+ * @property ratio repeated sends per request of a service.
+ * @property slack repeated sends in a window beside that.
+ * @property window length of the sliding window.
+ */
+public data class RetryBounds(val ratio: Double, val slack: Double, val window: Duration)
+
+/**
+ * Limits repeated sends to a service, so that a failing service is not loaded further by them.
+ *
+ * All instances share one bound. Each spends by its own requests, and an equal part of the slack; it keeps a margin
+ * for sends that another instance cannot see.
+ */
+public class RetryAllowance(
+    private val bounds: RetryBounds,
+    private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    private val memberCount: () -> Int,
+) {
+    private class Window {
+        val requests = ArrayDeque<ComparableTimeMark>()
+        val repeats = ArrayDeque<ComparableTimeMark>()
+    }
+
+    private val windows = HashMap<ServiceId, Window>()
+
+    /** Counts a request of a caller for [service]. */
+    public fun countRequest(service: ServiceId) {
+        windowOf(service).requests.addLast(timeSource.markNow())
+    }
+
+    /** Spends one repeated send to [service]; `false` when the bound does not allow it. */
+    public fun trySpend(service: ServiceId): Boolean {
+        val window = windowOf(service)
+        val slack = bounds.slack * SAFE_SHARE / memberCount().coerceAtLeast(1)
+        val allowed = bounds.ratio * SAFE_SHARE * window.requests.size + slack
+        val isAllowed = window.repeats.size + 1 <= allowed
+        if (isAllowed) window.repeats.addLast(timeSource.markNow())
+        return isAllowed
+    }
+
+    private fun windowOf(service: ServiceId): Window {
+        val window = windows.getOrPut(service, ::Window)
+        val now = timeSource.markNow()
+        while (window.requests.firstOrNull()?.let { now - it > bounds.window } == true) window.requests.removeFirst()
+        while (window.repeats.firstOrNull()?.let { now - it > bounds.window } == true) window.repeats.removeFirst()
+        return window
+    }
+
+    private companion object {
+        /** Part of the bound that is used; the rest covers sends in flight and members that have just gone. */
+        const val SAFE_SHARE = 0.8
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
@@ -0,0 +1,62 @@
+package io.quetzalfield.forwarding.choice
+
+import io.quetzalfield.decision.RolloutObservations
+import io.quetzalfield.decision.RolloutTest
+import io.quetzalfield.decision.RolloutVerdict
+import kotlin.time.Duration
+
+/** What the holder of the duty does with a roll-out now. */
+public sealed interface ScheduledStep {
+    /** Gives the new version [share] of the sessions. */
+    public data class Share(val share: Double) : ScheduledStep
+
+    /** Ends the roll-out: the new version gets everything. */
+    public data object Complete : ScheduledStep
+
+    /** Takes the new version back, for [reason]. */
+    public data class Revert(val reason: String) : ScheduledStep
+}
+
+/**
+ * When a roll-out gives how much to the new version.
+ *
+ * Load pattern: a bad version fails at once, late, under load or on one route only, and may get only a small part of
+ * all requests between order and deadline. It therefore stays at a small share for the first half, in which sessions
+ * must not change sides either, then grows in two steps, and completes with time to spare.
+ */
+public class RolloutSchedule(private val test: RolloutTest = RolloutTest()) {
+    /** The step at [elapsed] after the order of a roll-out that shall last [ramp]. */
+    public fun next(
+        elapsed: Duration,
+        ramp: Duration,
+        new: RolloutObservations,
+        baseline: RolloutObservations,
+    ): ScheduledStep {
+        val verdict = test.judge(new, baseline)
+        val progress = elapsed / ramp
+        return when {
+            verdict is RolloutVerdict.Harmful -> ScheduledStep.Revert("worse by ${verdict.cause.name.lowercase()}")
+            progress < CANARY_END -> ScheduledStep.Share(CANARY_SHARE)
+            progress < PARTIAL_END -> ScheduledStep.Share(PARTIAL_SHARE)
+            progress < FULL_END -> ScheduledStep.Share(1.0)
+            else -> ScheduledStep.Complete
+        }
+    }
+
+    private companion object {
+        /** Below the part of requests that a bad version may get over a whole roll-out. */
+        const val CANARY_SHARE = 0.08
+
+        /** A step at which faults that only load shows become visible. */
+        const val PARTIAL_SHARE = 0.3
+
+        /** Past the first half, in which a session must not change its version. */
+        const val CANARY_END = 0.55
+
+        /** Leaves the partial share about as long as a request lasts. */
+        const val PARTIAL_END = 0.7
+
+        /** Leaves requests on the version before time to end: it stops at once on completion. */
+        const val FULL_END = 0.95
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/configuration/RoutingConfiguration.kt
@@ -0,0 +1,114 @@
+package io.quetzalfield.forwarding.configuration
+
+import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.ModelId
+import io.quetzalfield.model.ServiceId
+import io.quetzalfield.store.StoreRevision
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What may be repeated of the requests of a route. */
+public enum class Repeatability {
+    /** A request may run more than once. */
+    IDEMPOTENT,
+
+    /** A request runs at most once. */
+    AT_MOST_ONCE,
+}
+
+/** A service that a route leads to, with its [weight] among the route's services. */
+public data class WeightedService(val service: ServiceId, val weight: Int)
+
+/**
+ * A rule for the requests to one host whose path starts with [prefix].
+ *
+ * @property isStream whether answers are series of events.
+ * @property isResumable whether a stream may go on at another endpoint after its last event.
+ * @property models models that may answer, smallest first; empty where the caller names the model.
+ * @property attemptLimit the most endpoints to which one request may be sent.
+ * @property timeout longest time for which a request may go without its final answer.
+ * @property objective time within which an answer, or the first event of a stream, is on time.
+ * @property longestPause longest pause between events of a stream that is on time.
+ * @property priority rank of the requests; 0 is the highest.
+ */
+public data class Route(
+    val name: String,
+    val host: String,
+    val prefix: String,
+    val repeatability: Repeatability,
+    val services: List<WeightedService>,
+    val isStream: Boolean = false,
+    val isResumable: Boolean = false,
+    val isPublic: Boolean = false,
+    val models: List<ModelId> = emptyList(),
+    val attemptLimit: Int = 1,
+    val timeout: Duration = DefaultTimeout,
+    val objective: Duration = timeout,
+    val longestPause: Duration = timeout,
+    val priority: Int = 0,
+) {
+    /** Whether a request that may have run may be sent again. */
+    val isRepeatable: Boolean get() = if (isStream) isResumable else repeatability == Repeatability.IDEMPOTENT
+
+    private companion object {
+        /** Used when the configuration names none: the longest that interactive callers usually wait. */
+        val DefaultTimeout = 30_000.milliseconds
+    }
+}
+
+/**
+ * A service that endpoints run.
+ *
+ * @property connectionLimit connections that one endpoint accepts from all callers together.
+ * @property memoryTokens tokens that an endpoint's memory holds; `null` for a service without model engines.
+ */
+public data class ServiceDescription(val service: ServiceId, val connectionLimit: Int, val memoryTokens: Long? = null)
+
+/** What a caller may send. */
+public data class CallerLimits(
+    val headerBytes: Int = 16_384,
+    val bodyBytes: Int = 4_194_304,
+    val headerTimeout: Duration = 3_000.milliseconds,
+    val idleTimeout: Duration = 15_000.milliseconds,
+)
+
+/** A client account; [priority] goes before that of a route. */
+public data class ClientAccount(val account: ClientAccountId, val priority: Int?)
+
+/**
+ * One version of the operator's configuration, immutable.
+ *
+ * @property revision the store's revision of this version.
+ * @property accounts client accounts by API key.
+ */
+public class RoutingConfiguration(
+    public val revision: StoreRevision,
+    public val version: Long,
+    public val routes: List<Route>,
+    services: List<ServiceDescription>,
+    public val limits: CallerLimits,
+    private val accounts: Map<String, ClientAccount>,
+) {
+    private val byHost: Map<String, Map<String, Route>> =
+        routes.groupBy(Route::host).mapValues { (_, hostRoutes) -> hostRoutes.associateBy(Route::prefix) }
+
+    /** The services by id. */
+    public val services: Map<ServiceId, ServiceDescription> = services.associateBy(ServiceDescription::service)
+
+    /** Whether requests need an API key. */
+    public val hasAccounts: Boolean get() = accounts.isNotEmpty()
+
+    /** The route of [host] with the longest prefix that starts [path]. */
+    public fun route(host: String, path: String): Route? {
+        val prefixes = byHost[host] ?: return null
+        var end = path.lastIndexOf('/')
+        while (end >= 0) {
+            prefixes[path.substring(0, end + 1)]?.let { return it }
+            end = if (end == 0) -1 else path.lastIndexOf('/', end - 1)
+        }
+        return null
+    }
+
+    /** The client account that holds the API key [key]. */
+    public fun account(key: String): ClientAccount? = accounts[key]
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -0,0 +1,81 @@
+package io.quetzalfield.forwarding.endpoints
+
+import io.quetzalfield.model.ModelId
+import io.quetzalfield.model.ServiceId
+import io.quetzalfield.model.VersionId
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+
+/** One start of a runner, named by the runner itself. */
+@JvmInline
+public value class EndpointId(public val value: String) {
+    override fun toString(): String = value
+}
+
+/** The numeric address of an endpoint. */
+public data class EndpointAddress(val host: String, val port: Int) {
+    override fun toString(): String = "$host:$port"
+}
+
+/**
+ * What an endpoint says of itself in the store.
+ *
+ * @property isLeaving whether it has announced its end.
+ * @property start Unix milliseconds of its start, which tell two starts under one id apart.
+ * @property coldFor how much longer it stays slow after its start.
+ */
+public data class EndpointDescription(
+    val id: EndpointId,
+    val service: ServiceId,
+    val address: EndpointAddress,
+    val failureDomain: String,
+    val version: VersionId,
+    val capacity: Int,
+    val isLeaving: Boolean = false,
+    val start: Long = 0,
+    val coldFor: Duration = Duration.ZERO,
+    val models: Set<ModelId> = emptySet(),
+)
+
+/** Load that an endpoint reported. */
+public data class EndpointLoad(val running: Int, val waiting: Int, val slots: Int)
+
+/** An endpoint as this instance knows it. Used on the event loop only. */
+public class Endpoint(public var description: EndpointDescription) {
+    /** Requests that this instance has at the endpoint. */
+    public var inFlight: Int = 0
+
+    /** Prompt tokens of own requests that the endpoint still has to read before their first event. */
+    public var unreadTokens: Long = 0
+
+    /** The newest load it reported, with its time. */
+    public var load: EndpointLoad? = null
+
+    /** When [load] was reported. */
+    public var loadReportedAt: ComparableTimeMark? = null
+
+    /** When the last bytes came from it. */
+    public var lastHeard: ComparableTimeMark? = null
+
+    /** No new work before this time, as attempts have failed. */
+    public var avoidedUntil: ComparableTimeMark? = null
+
+    /** Failures in a row. */
+    public var failuresInRow: Int = 0
+
+    /** When its entry disappeared from the store. */
+    public var vanishedAt: ComparableTimeMark? = null
+
+    /** Prompt parts that this instance believes to be in its memory. */
+    public val cachedParts: CachedParts = CachedParts()
+
+    /** Whether it is known to be gone: another instance answered at its address. */
+    public var isGone: Boolean = false
+
+    public val id: EndpointId get() = description.id
+
+    /** Whether it may get new work: registered, not leaving. */
+    public val isEligible: Boolean get() = !isGone && !description.isLeaving && vanishedAt == null
+
+    override fun toString(): String = "${description.id}@${description.address}"
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Membership.kt
@@ -0,0 +1,82 @@
+package io.quetzalfield.forwarding.fleet
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.store.KeyValueError
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.LeaseId
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.SwapResult
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * What an instance tells the others of itself.
+ *
+ * @property address where it takes callers' requests.
+ * @property isTaking whether callers should be sent to it.
+ */
+@Serializable
+public data class MemberRecord(
+    val incarnation: Incarnation,
+    val address: String,
+    val failureDomain: String,
+    val isTaking: Boolean = true,
+)
+
+/** Keeps this instance's record in the store under a lease. Called by one thread. */
+public class Membership(
+    private val store: KeyValueStore,
+    private val record: MemberRecord,
+    private val timeToLive: Duration = TimeToLive,
+) {
+    private val key = FleetKeys.member(record.incarnation)
+    private var isRecorded = false
+
+    /** The lease under which this instance's keys live; `null` while it has none. */
+    @Volatile
+    public var lease: LeaseId? = null
+        private set
+
+    /** Extends the lease, or joins anew when it has lapsed. Call it several times within the time to live. */
+    public fun renew() {
+        val current = lease
+        if (current != null && isRecorded) {
+            val isAlive = store.keepAlive(current).getOrElse { return }
+            if (isAlive) return
+            DecisionLog.write("membership_lapsed", "lease" to current.value)
+        }
+        join()
+    }
+
+    /** Tells the others that no more callers should be sent here. */
+    public fun leave() {
+        val current = lease ?: return
+        lease = null
+        isRecorded = false
+        val result = store.revokeLease(current)
+        DecisionLog.write("membership_left", "lease" to current.value, "error" to result.errorMessage())
+    }
+
+    private fun join() {
+        isRecorded = false
+        val granted = store.grantLease(timeToLive).getOrElse { return }
+        lease = granted
+        val json = PlatformJson.encodeToString(MemberRecord.serializer(), record)
+        val standing = store.read(key).getOrElse { return }?.modified ?: StoreRevision.Absent
+        val result = store.compareAndSwap(key, standing, json, granted)
+        isRecorded = result is Either.Right && result.value is SwapResult.Swapped
+        DecisionLog.write("membership_joined", "lease" to granted.value, "recorded" to isRecorded)
+    }
+
+    private fun Either<KeyValueError, *>.errorMessage(): String? = (this as? Either.Left)?.value?.message
+
+    private companion object {
+        /** Callers pass over an address that fails them, so a dead instance may stay listed this long. */
+        val TimeToLive = 3.seconds
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
@@ -0,0 +1,174 @@
+package io.quetzalfield.forwarding.fleet
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import io.quetzalfield.decision.RolloutObservations
+import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.forwarding.choice.RolloutPhase
+import io.quetzalfield.forwarding.choice.RolloutSchedule
+import io.quetzalfield.forwarding.choice.RolloutStep
+import io.quetzalfield.forwarding.choice.ScheduledStep
+import io.quetzalfield.model.ServiceId
+import io.quetzalfield.model.VersionId
+import io.quetzalfield.store.DutyLease
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.StoredValue
+import io.quetzalfield.store.SwapResult
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlin.time.Clock
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+/**
+ * The operator's order to roll out a version.
+ *
+ * @property ramp time within which it shall be done.
+ * @property revision the store's revision of the order.
+ */
+public data class RolloutOrder(
+    val service: ServiceId,
+    val target: VersionId,
+    val ramp: Duration,
+    val revision: StoreRevision,
+)
+
+/** Tells the operator where a roll-out stands. */
+public fun interface RolloutReports {
+    /** Reports [phase] of [order]; `false` when the report may not have arrived. */
+    public fun report(order: RolloutOrder, phase: RolloutPhase): Boolean
+}
+
+/** What one instance has seen of the versions of a service. */
+@Serializable
+public data class ObservationRecord(val answers: Map<VersionId, Counts>) {
+    /** Sums of one version. */
+    @Serializable
+    public data class Counts(val answers: Long, val errors: Long, val slow: Long)
+}
+
+/**
+ * The stored state of a roll-out.
+ *
+ * @property startedAt Unix milliseconds at which its first step was taken.
+ * @property isReported whether the operator has been told of the phase.
+ */
+@Serializable
+public data class RolloutRecord(val step: RolloutStep, val startedAt: Long, val isReported: Boolean = false)
+
+/**
+ * Carries roll-outs through while this instance holds the duty. All instances follow the steps it stores; a new holder
+ * goes on from the stored step.
+ */
+public class RolloutDuty(
+    private val store: KeyValueStore,
+    private val lease: DutyLease,
+    private val reports: RolloutReports,
+    private val schedule: RolloutSchedule = RolloutSchedule(),
+    private val clock: Clock = Clock.System,
+    private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) {
+    private val firstSeen = HashMap<StoreRevision, ComparableTimeMark>()
+
+    /** Takes the next step of each of [orders]. [observations] holds what each instance has seen, by store key. */
+    public fun work(orders: List<RolloutOrder>) {
+        orders.forEach { firstSeen.getOrPut(it.revision) { timeSource.markNow() } }
+        if (lease.held == null) return
+        for (order in orders) advance(order)
+    }
+
+    private fun advance(order: RolloutOrder) {
+        val key = FleetKeys.step(order.service)
+        val stored = store.read(key).getOrElse { return }
+        val standing = stored?.let(::decode)?.takeIf { it.step.orderRevision == order.revision.value }
+        val revision = stored?.modified ?: StoreRevision.Absent
+        when {
+            standing == null -> begin(order, key, revision)
+            standing.step.phase == RolloutPhase.RUNNING -> proceed(order, key, revision, standing)
+            !standing.isReported -> report(order, key, revision, standing)
+        }
+    }
+
+    private fun begin(order: RolloutOrder, key: String, revision: StoreRevision) {
+        val step = RolloutStep(order.service, order.target, order.revision.value, RolloutPhase.RUNNING, share = 0.0)
+        val record = RolloutRecord(step, clock.now().toEpochMilliseconds())
+        if (write(key, revision, record) != null) reports.report(order, RolloutPhase.RUNNING)
+    }
+
+    private fun proceed(order: RolloutOrder, key: String, revision: StoreRevision, standing: RolloutRecord) {
+        val seen = observationsOf(order.service) ?: return
+        val new = seen[order.target] ?: RolloutObservations()
+        val baseline = seen.filterKeys { it != order.target }.values.fold(RolloutObservations(), RolloutObservations::plus)
+        val scheduled = schedule.next(elapsed(order, standing), order.ramp, new, baseline)
+        val step = when (scheduled) {
+            is ScheduledStep.Share -> standing.step.copy(share = maxOf(scheduled.share, standing.step.share))
+            is ScheduledStep.Complete -> standing.step.copy(share = 1.0, phase = RolloutPhase.COMPLETE)
+            is ScheduledStep.Revert -> standing.step.copy(share = 0.0, phase = RolloutPhase.REVERTED)
+        }
+        if (step == standing.step) return
+        DecisionLog.write(
+            "rollout_step",
+            "service" to order.service.value,
+            "target" to order.target.value,
+            "phase" to step.phase,
+            "share" to step.share,
+            "reason" to (scheduled as? ScheduledStep.Revert)?.reason,
+            "new" to new,
+            "baseline" to baseline,
+        )
+        val record = standing.copy(step = step)
+        val written = write(key, revision, record) ?: return
+        if (step.phase != RolloutPhase.RUNNING) report(order, key, written, record)
+    }
+
+    private fun report(order: RolloutOrder, key: String, revision: StoreRevision, record: RolloutRecord) {
+        if (reports.report(order, record.step.phase)) write(key, revision, record.copy(isReported = true))
+    }
+
+    /** Time since the order, by the holder's own clock where it saw the order come, else by the stored start. */
+    private fun elapsed(order: RolloutOrder, standing: RolloutRecord): Duration {
+        val own = firstSeen[order.revision]?.elapsedNow() ?: Duration.ZERO
+        val stored = (clock.now().toEpochMilliseconds() - standing.startedAt).milliseconds
+        return maxOf(own, stored.coerceAtMost(own + LongestTakeover))
+    }
+
+    private fun observationsOf(service: ServiceId): Map<VersionId, RolloutObservations>? {
+        val values = store.list("${FleetKeys.OBSERVATIONS}${service.value}/").getOrElse { return null }
+        val records = values.mapNotNull { value ->
+            decodeOrNull(value) { PlatformJson.decodeFromString(ObservationRecord.serializer(), it) }
+        }
+        return records.flatMap { it.answers.entries }.groupBy({ it.key }, { it.value }).mapValues { (_, counts) ->
+            RolloutObservations(
+                answers = counts.sumOf { it.answers },
+                errors = counts.sumOf { it.errors },
+                slow = counts.sumOf { it.slow },
+            )
+        }
+    }
+
+    private fun write(key: String, expected: StoreRevision, record: RolloutRecord): StoreRevision? {
+        if (lease.held == null) return null
+        val json = PlatformJson.encodeToString(RolloutRecord.serializer(), record)
+        val result = store.compareAndSwap(key, expected, json)
+        return ((result as? Either.Right)?.value as? SwapResult.Swapped)?.stored
+    }
+
+    private fun decode(value: StoredValue): RolloutRecord? =
+        decodeOrNull(value) { PlatformJson.decodeFromString(RolloutRecord.serializer(), it) }
+
+    private fun <T> decodeOrNull(value: StoredValue, decode: (String) -> T): T? = try {
+        decode(value.value)
+    } catch (error: SerializationException) {
+        DecisionLog.write("record_unreadable", "key" to value.key, "reason" to error.message)
+        null
+    }
+
+    private companion object {
+        /** Bounds what a step of the time of day adds to the age of a roll-out at a holder that did not see it start. */
+        val LongestTakeover = 10_000.milliseconds
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/VersionObserver.kt
@@ -0,0 +1,28 @@
+package io.quetzalfield.forwarding.fleet
+
+import io.quetzalfield.decision.RolloutObservations
+import io.quetzalfield.model.ServiceId
+import io.quetzalfield.model.VersionId
+
+/** Counts what this instance sees of the versions of each service. Used on the event loop only. */
+public class VersionObserver {
+    private val counts = HashMap<Pair<ServiceId, VersionId>, RolloutObservations>()
+
+    /** Counts a whole answer of [version]; [isSlow] when it missed its objective. */
+    public fun countAnswer(service: ServiceId, version: VersionId, isSlow: Boolean) {
+        add(service, version, RolloutObservations(answers = 1, slow = if (isSlow) 1 else 0))
+    }
+
+    /** Counts an attempt that the runner of [version] failed. */
+    public fun countError(service: ServiceId, version: VersionId) {
+        add(service, version, RolloutObservations(errors = 1))
+    }
+
+    /** What was seen of each version of [service]. */
+    public fun observationsOf(service: ServiceId): Map<VersionId, RolloutObservations> =
+        counts.filterKeys { it.first == service }.mapKeys { it.key.second }
+
+    private fun add(service: ServiceId, version: VersionId, one: RolloutObservations) {
+        counts.merge(service to version, one, RolloutObservations::plus)
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
@@ -0,0 +1,118 @@
+package io.quetzalfield.forwarding.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.socket.nio.NioChannelOption
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.quetzalfield.forwarding.endpoints.EndpointAddress
+import jdk.net.ExtendedSocketOptions
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+/** Why there is no connection to an endpoint. The request has not been sent. */
+public enum class ConnectFailure { REFUSED_OR_TIMED_OUT, LIMIT_REACHED }
+
+/** Kept connections to endpoints, by address. Used on the event loop only. */
+public class EndpointConnections(
+    private val eventLoop: EventLoop,
+    private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    private val onOpened: () -> Unit = {},
+) {
+    private class Pool {
+        val idle = ArrayDeque<EndpointConnection>()
+        var open = 0
+    }
+
+    private val pools = HashMap<EndpointAddress, Pool>()
+
+    /**
+     * Hands [onReady] a connection to [address], the most recently used idle one or a new one.
+     *
+     * @param limit connections that this instance may have to the address.
+     * @param longestIdle part of the endpoint's idle timeout up to which a kept connection is used.
+     */
+    public fun acquire(
+        address: EndpointAddress,
+        limit: Int,
+        longestIdle: Double,
+        onFailure: (ConnectFailure) -> Unit,
+        onReady: (EndpointConnection) -> Unit,
+    ) {
+        val pool = pools.getOrPut(address, ::Pool)
+        val kept = pool.takeIdle(longestIdle)
+        when {
+            kept != null -> onReady(kept)
+            pool.open >= limit -> onFailure(ConnectFailure.LIMIT_REACHED)
+            else -> open(address, pool, onFailure, onReady)
+        }
+    }
+
+    /** Closes idle connections to [address]. */
+    public fun closeIdle(address: EndpointAddress) {
+        pools[address]?.idle?.toList()?.forEach(EndpointConnection::abandon)
+    }
+
+    private fun Pool.takeIdle(longestIdle: Double): EndpointConnection? {
+        val now = timeSource.markNow()
+        while (idle.isNotEmpty()) {
+            val connection = idle.removeLast()
+            val isFresh = now - connection.idleSince < connection.keepAlive * longestIdle
+            if (isFresh && connection.channel.isActive) return connection
+            connection.abandon()
+        }
+        return null
+    }
+
+    private fun open(
+        address: EndpointAddress,
+        pool: Pool,
+        onFailure: (ConnectFailure) -> Unit,
+        onReady: (EndpointConnection) -> Unit,
+    ) {
+        pool.open++
+        val connection = EndpointConnection(
+            address,
+            timeSource,
+            onClosed = { closed -> release(pool, closed) },
+            onIdle = { idle -> pool.idle.addLast(idle) },
+        )
+        bootstrap(connection).connect(address.host, address.port).addListener { future ->
+            if (future.isSuccess) {
+                onOpened()
+                onReady(connection)
+            } else {
+                pool.open--
+                (future as? ChannelFuture)?.channel()?.close()
+                onFailure(ConnectFailure.REFUSED_OR_TIMED_OUT)
+            }
+        }
+    }
+
+    private fun release(pool: Pool, closed: EndpointConnection) {
+        pool.open--
+        pool.idle.remove(closed)
+    }
+
+    private fun bootstrap(connection: EndpointConnection): Bootstrap = Bootstrap()
+        .group(eventLoop)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, ConnectTimeout.inWholeMilliseconds.toInt())
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
+        .handler(connection.initializer)
+
+    private companion object {
+        /** Several round trips between failure domains, and one lost packet's repetition is not waited for. */
+        val ConnectTimeout: Duration = 400.milliseconds
+
+        /** The shortest that the operating system allows; a silent connection is noticed within three of them. */
+        const val KEEPALIVE_SECONDS = 1
+        const val KEEPALIVE_PROBES = 2
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -0,0 +1,58 @@
+package io.quetzalfield.forwarding.http
+
+import io.netty.channel.EventLoop
+import io.quetzalfield.forwarding.RouterMetrics
+import io.quetzalfield.forwarding.choice.ConfidenceCascade
+import io.quetzalfield.forwarding.choice.EndpointPlacement
+import io.quetzalfield.forwarding.choice.LeastWorkPlacement
+import io.quetzalfield.forwarding.choice.ModelCascade
+import io.quetzalfield.forwarding.choice.RetryAllowance
+import io.quetzalfield.forwarding.choice.VersionSplit
+import io.quetzalfield.forwarding.configuration.ConfigurationHolder
+import io.quetzalfield.forwarding.endpoints.Endpoint
+import io.quetzalfield.forwarding.endpoints.EndpointDirectory
+import io.quetzalfield.forwarding.fleet.VersionObserver
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+
+/**
+ * All that the handling of requests uses. Everything in it belongs to the event loop and is touched there only.
+ *
+ * @property confirmationBound age up to which the configuration counts as current; `null` without a bound.
+ * @property memberCount instances that take requests now.
+ */
+public class RoutingContext(
+    public val eventLoop: EventLoop,
+    public val configuration: ConfigurationHolder,
+    public val endpoints: EndpointDirectory,
+    public val dialect: HeaderDialect,
+    public val metrics: RouterMetrics,
+    public val retryAllowance: RetryAllowance,
+    public val connections: EndpointConnections,
+    public val versions: VersionSplit = VersionSplit(),
+    public val observer: VersionObserver = VersionObserver(),
+    public val placement: EndpointPlacement = LeastWorkPlacement(),
+    public val cascade: ModelCascade = ConfidenceCascade(),
+    public val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    public val random: Random = Random.Default,
+    public val confirmationBound: Duration? = null,
+    public val memberCount: () -> Int = { 1 },
+) {
+    /** Whether this instance is ending; answers then ask callers to close their connections. */
+    public var isShuttingDown: Boolean = false
+
+    /** Requests that have no final answer yet. */
+    public var openExchanges: Int = 0
+
+    /** Whether requests may run by the present configuration: its last confirmation is recent enough. */
+    public val isConfigurationCurrent: Boolean
+        get() = confirmationBound == null || configuration.isConfirmedWithin(confirmationBound)
+
+    /** Share of the places of [endpoints] that are taken, as far as this instance knows. */
+    public fun occupancy(endpoints: List<Endpoint>): Double {
+        val places = endpoints.sumOf { it.description.capacity }.coerceAtLeast(1)
+        val taken = endpoints.sumOf { maxOf(it.inFlight, it.load?.let { load -> load.running + load.waiting } ?: 0) }
+        return taken.toDouble() / places
+    }
+}
--- a/operator/src/main/kotlin/io/quetzalfield/operator/FleetStatus.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/FleetStatus.kt
@@ -6,7 +6,7 @@
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
 import io.quetzalfield.model.ListsRevision
-import io.quetzalfield.platform.DUTY_PREFIX
+import io.quetzalfield.store.DUTY_PREFIX
 import io.quetzalfield.support.status.DaemonStatus
 import kotlinx.serialization.Serializable
 
--- a/operator/src/main/kotlin/io/quetzalfield/operator/ListsStore.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ListsStore.kt
@@ -5,13 +5,13 @@
 import arrow.core.right
 import io.quetzalfield.model.ListsRevision
 import io.quetzalfield.model.OperatorLists
-import io.quetzalfield.platform.KeyValueError
-import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.LISTS_KEY
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.StoreRevision
-import io.quetzalfield.platform.StoredValue
-import io.quetzalfield.platform.SwapResult
+import io.quetzalfield.store.KeyValueError
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.LISTS_KEY
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.StoredValue
+import io.quetzalfield.store.SwapResult
 
 /** The lists as they are stored, with the store's revision that a replacement must name. */
 public data class StoredLists(val lists: OperatorLists?, val storeRevision: StoreRevision) {
--- a/operator/src/main/kotlin/io/quetzalfield/operator/PlatformConnection.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/PlatformConnection.kt
@@ -1,9 +1,9 @@
 package io.quetzalfield.operator
 
-import io.quetzalfield.platform.EtcdGatewayKeyValueStore
-import io.quetzalfield.platform.HttpInstanceDirectory
-import io.quetzalfield.platform.InstanceDirectory
-import io.quetzalfield.platform.KeyValueStore
+import io.quetzalfield.store.EtcdGatewayKeyValueStore
+import io.quetzalfield.store.HttpInstanceDirectory
+import io.quetzalfield.store.InstanceDirectory
+import io.quetzalfield.store.KeyValueStore
 
 /** What a command needs of the world outside. */
 public class PlatformConnection(
--- a/operator/src/main/kotlin/io/quetzalfield/operator/ShowCommand.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ShowCommand.kt
@@ -9,7 +9,7 @@
 import io.quetzalfield.model.ClientPlanList
 import io.quetzalfield.model.ListsRevision
 import io.quetzalfield.model.ModelList
-import io.quetzalfield.platform.KeyValueError
+import io.quetzalfield.store.KeyValueError
 import kotlinx.serialization.Serializable
 import java.nio.file.Files
 import java.nio.file.Path
--- a/operator/src/test/kotlin/io/quetzalfield/operator/FakePlatform.kt
+++ b/operator/src/test/kotlin/io/quetzalfield/operator/FakePlatform.kt
@@ -10,8 +10,8 @@
 import io.quetzalfield.model.ListedInstance
 import io.quetzalfield.model.ListsRevision
 import io.quetzalfield.model.RequestId
-import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
-import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
+import io.quetzalfield.store.fakes.InMemoryInstanceDirectory
+import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import io.quetzalfield.support.status.DaemonStatus
 import io.quetzalfield.support.status.RequestExplanation
 import kotlinx.serialization.json.JsonPrimitive
--- a/standins/src/main/kotlin/io/quetzalfield/standins/CallerClient.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/CallerClient.kt
@@ -1,8 +1,8 @@
 package io.quetzalfield.standins
 
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.engine.ChatCompletionRequest
-import io.quetzalfield.platform.engine.STREAM_END
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.engine.ChatCompletionRequest
+import io.quetzalfield.store.engine.STREAM_END
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
--- a/standins/src/main/kotlin/io/quetzalfield/standins/DemonstrationCommand.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/DemonstrationCommand.kt
@@ -6,9 +6,9 @@
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.int
 import io.quetzalfield.model.InstanceKind
-import io.quetzalfield.platform.HttpInstanceDirectory
-import io.quetzalfield.platform.engine.ChatCompletionRequest
-import io.quetzalfield.platform.engine.ChatMessage
+import io.quetzalfield.store.HttpInstanceDirectory
+import io.quetzalfield.store.engine.ChatCompletionRequest
+import io.quetzalfield.store.engine.ChatMessage
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
--- a/standins/src/main/kotlin/io/quetzalfield/standins/LoadCommand.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/LoadCommand.kt
@@ -9,7 +9,7 @@
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
 import io.quetzalfield.model.ModelVersionReference
-import io.quetzalfield.platform.HttpInstanceDirectory
+import io.quetzalfield.store.HttpInstanceDirectory
 import org.HdrHistogram.Histogram
 import kotlin.time.Duration.Companion.seconds
 
--- a/standins/src/main/kotlin/io/quetzalfield/standins/LoadRun.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/LoadRun.kt
@@ -1,7 +1,7 @@
 package io.quetzalfield.standins
 
-import io.quetzalfield.platform.engine.ChatCompletionRequest
-import io.quetzalfield.platform.engine.ChatMessage
+import io.quetzalfield.store.engine.ChatCompletionRequest
+import io.quetzalfield.store.engine.ChatMessage
 import org.HdrHistogram.ConcurrentHistogram
 import org.HdrHistogram.Histogram
 import java.util.concurrent.Executors
--- a/standins/src/main/kotlin/io/quetzalfield/standins/Main.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/Main.kt
@@ -17,8 +17,8 @@
 import io.quetzalfield.model.ListedInstance
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.ServiceId
-import io.quetzalfield.platform.HttpInstanceDirectory
-import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.store.HttpInstanceDirectory
+import io.quetzalfield.store.PlatformJson
 import io.quetzalfield.support.awaitTermination
 import java.nio.file.Files
 import java.nio.file.StandardCopyOption
--- a/standins/src/main/kotlin/io/quetzalfield/standins/PlatformStandIn.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/PlatformStandIn.kt
@@ -6,11 +6,11 @@
 import io.javalin.http.Context
 import io.quetzalfield.model.InstanceId
 import io.quetzalfield.model.ListedInstance
-import io.quetzalfield.platform.AnswerToRate
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.Rating
-import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
-import io.quetzalfield.platform.fakes.InMemoryRatingService
+import io.quetzalfield.store.AnswerToRate
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.Rating
+import io.quetzalfield.store.fakes.InMemoryInstanceDirectory
+import io.quetzalfield.store.fakes.InMemoryRatingService
 import io.quetzalfield.support.startHttpServer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.builtins.ListSerializer
--- a/standins/src/main/kotlin/io/quetzalfield/standins/PrefixCacheStandIn.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/PrefixCacheStandIn.kt
@@ -1,6 +1,6 @@
 package io.quetzalfield.standins
 
-import io.quetzalfield.platform.engine.EngineCacheEvent
+import io.quetzalfield.store.engine.EngineCacheEvent
 
 /**
  * The prefix cache of a runner that stands in: a few prefixes, the one used longest ago is evicted first. Its events
--- a/standins/src/main/kotlin/io/quetzalfield/standins/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/ServiceStandIn.kt
@@ -2,8 +2,8 @@
 
 import io.javalin.Javalin
 import io.javalin.http.Context
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.engine.REQUEST_ID_HEADER
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.engine.REQUEST_ID_HEADER
 import io.quetzalfield.support.startHttpServer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.builtins.ListSerializer
--- a/steward/src/main/kotlin/io/quetzalfield/steward/DutyStatus.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/DutyStatus.kt
@@ -2,7 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import io.quetzalfield.platform.DutyLease
+import io.quetzalfield.store.DutyLease
 import io.quetzalfield.support.status.StatusSection
 import io.quetzalfield.support.status.statusSection
 import kotlinx.serialization.Serializable
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StoredLists.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StoredLists.kt
@@ -2,9 +2,9 @@
 
 import io.quetzalfield.model.ListsSnapshot
 import io.quetzalfield.model.OperatorLists
-import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.LISTS_KEY
-import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.LISTS_KEY
+import io.quetzalfield.store.PlatformJson
 import kotlinx.serialization.SerializationException
 import org.apache.logging.log4j.LogManager
 
--- a/steward/src/main/kotlin/io/quetzalfield/steward/allowances/AllowanceDuty.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/allowances/AllowanceDuty.kt
@@ -4,7 +4,7 @@
 import io.quetzalfield.decision.AllowanceDivision
 import io.quetzalfield.decision.AllowanceRules
 import io.quetzalfield.decision.EntryDemand
-import io.quetzalfield.platform.HeldDuty
+import io.quetzalfield.store.HeldDuty
 import kotlin.time.TimeSource
 
 /** A division with the fencing number of the duty under which it was made. */
--- a/steward/src/main/kotlin/io/quetzalfield/steward/bills/BillFolding.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/bills/BillFolding.kt
@@ -7,17 +7,17 @@
 import arrow.core.right
 import io.quetzalfield.model.ClientAccountId
 import io.quetzalfield.model.Incarnation
-import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.StoreRevision
-import io.quetzalfield.platform.StoredValue
-import io.quetzalfield.platform.SwapResult
-import io.quetzalfield.platform.bills.AccountBill
-import io.quetzalfield.platform.bills.BillCell
-import io.quetzalfield.platform.bills.BillTotals
-import io.quetzalfield.platform.bills.CellState
-import io.quetzalfield.platform.bills.SequenceRange
-import io.quetzalfield.platform.bills.accountBillKey
-import io.quetzalfield.platform.bills.billCellKey
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.StoredValue
+import io.quetzalfield.store.SwapResult
+import io.quetzalfield.store.bills.AccountBill
+import io.quetzalfield.store.bills.BillCell
+import io.quetzalfield.store.bills.BillTotals
+import io.quetzalfield.store.bills.CellState
+import io.quetzalfield.store.bills.SequenceRange
+import io.quetzalfield.store.bills.accountBillKey
+import io.quetzalfield.store.bills.billCellKey
 import kotlin.time.Clock
 
 /** Why the bills of an incarnation are not folded yet. Folding again later is harmless. */
--- a/steward/src/main/kotlin/io/quetzalfield/steward/bills/BillWitnesses.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/bills/BillWitnesses.kt
@@ -13,8 +13,8 @@
 import io.quetzalfield.peer.wire.CollectRequest
 import io.quetzalfield.peer.wire.ForgetRequest
 import io.quetzalfield.peer.wire.WitnessedRequest
-import io.quetzalfield.platform.InstanceDirectory
-import io.quetzalfield.platform.bills.BillTotals
+import io.quetzalfield.store.InstanceDirectory
+import io.quetzalfield.store.bills.BillTotals
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
--- a/steward/src/main/kotlin/io/quetzalfield/steward/bills/FoldedCells.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/bills/FoldedCells.kt
@@ -2,13 +2,13 @@
 
 import arrow.core.getOrElse
 import io.quetzalfield.model.Incarnation
-import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.StoredValue
-import io.quetzalfield.platform.bills.ACCOUNT_BILL_PREFIX
-import io.quetzalfield.platform.bills.AccountBill
-import io.quetzalfield.platform.bills.BILL_CELL_PREFIX
-import io.quetzalfield.platform.bills.BillCell
-import io.quetzalfield.platform.bills.CellState
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.StoredValue
+import io.quetzalfield.store.bills.ACCOUNT_BILL_PREFIX
+import io.quetzalfield.store.bills.AccountBill
+import io.quetzalfield.store.bills.BILL_CELL_PREFIX
+import io.quetzalfield.store.bills.BillCell
+import io.quetzalfield.store.bills.CellState
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
--- a/steward/src/main/kotlin/io/quetzalfield/steward/orders/OrderDuty.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/orders/OrderDuty.kt
@@ -9,9 +9,9 @@
 import io.quetzalfield.model.ListsSnapshot
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.RunnerId
-import io.quetzalfield.platform.HeldDuty
-import io.quetzalfield.platform.InstanceDirectory
-import io.quetzalfield.platform.engine.EngineOrder
+import io.quetzalfield.store.HeldDuty
+import io.quetzalfield.store.InstanceDirectory
+import io.quetzalfield.store.engine.EngineOrder
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.TimeSource
--- a/steward/src/main/kotlin/io/quetzalfield/steward/orders/RunnerControl.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/orders/RunnerControl.kt
@@ -5,9 +5,9 @@
 import arrow.core.left
 import arrow.core.right
 import io.quetzalfield.model.ListedInstance
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.engine.EngineLoad
-import io.quetzalfield.platform.engine.EngineOrder
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.engine.EngineLoad
+import io.quetzalfield.store.engine.EngineOrder
 import kotlinx.serialization.SerializationException
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
--- a/steward/src/main/kotlin/io/quetzalfield/steward/rollouts/PeerRolloutEntries.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/rollouts/PeerRolloutEntries.kt
@@ -10,7 +10,7 @@
 import io.quetzalfield.peer.wire.ObservationsRequest
 import io.quetzalfield.peer.wire.VersionObservations
 import io.quetzalfield.peer.wire.VersionStop
-import io.quetzalfield.platform.InstanceDirectory
+import io.quetzalfield.store.InstanceDirectory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
--- a/steward/src/main/kotlin/io/quetzalfield/steward/rollouts/RolloutRecords.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/rollouts/RolloutRecords.kt
@@ -3,10 +3,10 @@
 import io.quetzalfield.decision.Rollout
 import io.quetzalfield.decision.RolloutObservations
 import io.quetzalfield.decision.RolloutProgress
-import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.StoreRevision
-import io.quetzalfield.platform.StoredValue
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.StoredValue
 import kotlinx.serialization.SerializationException
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
--- a/steward/src/test/kotlin/io/quetzalfield/steward/MetricsPageTest.kt
+++ b/steward/src/test/kotlin/io/quetzalfield/steward/MetricsPageTest.kt
@@ -2,8 +2,8 @@
 
 import io.quetzalfield.model.FailureDomainId
 import io.quetzalfield.model.InstanceId
-import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
-import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
+import io.quetzalfield.store.fakes.InMemoryInstanceDirectory
+import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.test.Test
--- a/steward/src/test/kotlin/io/quetzalfield/steward/orders/OrderDutyTest.kt
+++ b/steward/src/test/kotlin/io/quetzalfield/steward/orders/OrderDutyTest.kt
@@ -17,10 +17,10 @@
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.OperatorLists
 import io.quetzalfield.model.VersionId
-import io.quetzalfield.platform.HeldDuty
-import io.quetzalfield.platform.engine.EngineLoad
-import io.quetzalfield.platform.engine.EngineOrder
-import io.quetzalfield.platform.fakes.InMemoryInstanceDirectory
+import io.quetzalfield.store.HeldDuty
+import io.quetzalfield.store.engine.EngineLoad
+import io.quetzalfield.store.engine.EngineOrder
+import io.quetzalfield.store.fakes.InMemoryInstanceDirectory
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.seconds
--- a/steward/src/test/kotlin/io/quetzalfield/steward/rollouts/RolloutDutyTest.kt
+++ b/steward/src/test/kotlin/io/quetzalfield/steward/rollouts/RolloutDutyTest.kt
@@ -14,11 +14,11 @@
 import io.quetzalfield.model.SigningKey
 import io.quetzalfield.model.VersionId
 import io.quetzalfield.model.VersionState
-import io.quetzalfield.platform.DutyLease
-import io.quetzalfield.platform.LISTS_KEY
-import io.quetzalfield.platform.PlatformJson
-import io.quetzalfield.platform.StoreRevision
-import io.quetzalfield.platform.fakes.InMemoryKeyValueStore
+import io.quetzalfield.store.DutyLease
+import io.quetzalfield.store.LISTS_KEY
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/platform-fakes/src/main/kotlin/io/quetzalfield/platform/fakes/InMemoryKeyValueStore.kt
+++ b/store-fakes/src/main/kotlin/io/quetzalfield/store/fakes/InMemoryKeyValueStore.kt
@@ -1,16 +1,16 @@
-package io.quetzalfield.platform.fakes
+package io.quetzalfield.store.fakes
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import io.quetzalfield.platform.KeyValueError
-import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.LeaseId
-import io.quetzalfield.platform.StoreChange
-import io.quetzalfield.platform.StoreRevision
-import io.quetzalfield.platform.StoreWatch
-import io.quetzalfield.platform.StoredValue
-import io.quetzalfield.platform.SwapResult
+import io.quetzalfield.store.KeyValueError
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.LeaseId
+import io.quetzalfield.store.StoreChange
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.StoreWatch
+import io.quetzalfield.store.StoredValue
+import io.quetzalfield.store.SwapResult
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.TimeSource
--- a/platform-fakes/src/main/kotlin/io/quetzalfield/platform/fakes/InMemoryPlatform.kt
+++ b/store-fakes/src/main/kotlin/io/quetzalfield/store/fakes/InMemoryPlatform.kt
@@ -1,16 +1,16 @@
-package io.quetzalfield.platform.fakes
+package io.quetzalfield.store.fakes
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
 import io.quetzalfield.model.InstanceId
 import io.quetzalfield.model.ListedInstance
-import io.quetzalfield.platform.AnswerToRate
-import io.quetzalfield.platform.DirectoryError
-import io.quetzalfield.platform.InstanceDirectory
-import io.quetzalfield.platform.Rating
-import io.quetzalfield.platform.RatingError
-import io.quetzalfield.platform.RatingService
+import io.quetzalfield.store.AnswerToRate
+import io.quetzalfield.store.DirectoryError
+import io.quetzalfield.store.InstanceDirectory
+import io.quetzalfield.store.Rating
+import io.quetzalfield.store.RatingError
+import io.quetzalfield.store.RatingService
 import java.util.concurrent.ConcurrentHashMap
 
 /** A list of instances in memory. While [isFrozen], it keeps answering with what it knew before. */
--- a/platform-fakes/src/test/kotlin/io/quetzalfield/platform/fakes/DutyLeaseTest.kt
+++ b/store-fakes/src/test/kotlin/io/quetzalfield/store/fakes/DutyLeaseTest.kt
@@ -1,17 +1,17 @@
-package io.quetzalfield.platform.fakes
+package io.quetzalfield.store.fakes
 
 import arrow.core.Either
 import arrow.core.left
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceId
-import io.quetzalfield.platform.DutyLease
-import io.quetzalfield.platform.DutyRoster
-import io.quetzalfield.platform.KeyValueError
-import io.quetzalfield.platform.KeyValueStore
-import io.quetzalfield.platform.LeaseId
-import io.quetzalfield.platform.StoreRevision
-import io.quetzalfield.platform.StoredValue
-import io.quetzalfield.platform.SwapResult
+import io.quetzalfield.store.DutyLease
+import io.quetzalfield.store.DutyRoster
+import io.quetzalfield.store.KeyValueError
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.LeaseId
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.StoredValue
+import io.quetzalfield.store.SwapResult
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/platform/src/main/kotlin/io/quetzalfield/platform/DutyRoster.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/DutyRoster.kt
@@ -1,4 +1,4 @@
-package io.quetzalfield.platform
+package io.quetzalfield.store
 
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
--- a/platform/src/main/kotlin/io/quetzalfield/platform/EtcdGatewayKeyValueStore.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/EtcdGatewayKeyValueStore.kt
@@ -1,11 +1,11 @@
-package io.quetzalfield.platform
+package io.quetzalfield.store
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import io.quetzalfield.platform.KeyValueError.OutcomeUnknown
-import io.quetzalfield.platform.KeyValueError.Rejected
-import io.quetzalfield.platform.KeyValueError.Unavailable
+import io.quetzalfield.store.KeyValueError.OutcomeUnknown
+import io.quetzalfield.store.KeyValueError.Rejected
+import io.quetzalfield.store.KeyValueError.Unavailable
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
--- a/platform/src/main/kotlin/io/quetzalfield/platform/EtcdGatewayMessages.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/EtcdGatewayMessages.kt
@@ -1,4 +1,4 @@
-package io.quetzalfield.platform
+package io.quetzalfield.store
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
--- a/platform/src/main/kotlin/io/quetzalfield/platform/EtcdGatewayWatch.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/EtcdGatewayWatch.kt
@@ -1,4 +1,4 @@
-package io.quetzalfield.platform
+package io.quetzalfield.store
 
 import okhttp3.Call
 import okhttp3.MediaType.Companion.toMediaType
--- /dev/null
+++ b/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
@@ -0,0 +1,28 @@
+package io.quetzalfield.store
+
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Instant
+
+/** The moment at which a call was sent, by the monotonic clock and by the time of day. */
+public data class CallTime(val mark: ComparableTimeMark, val instant: Instant)
+
+/** Receives what a part of the store holds. All calls come from one thread. */
+public interface StoreFollower {
+    /** The part holds exactly [values] now; what was reported before is replaced. */
+    public fun onState(values: List<StoredValue>)
+
+    /** One key has changed. */
+    public fun onChange(change: StoreChange)
+
+    /** Everything acknowledged by the store before [sent] has been reported. */
+    public fun onConfirmed(sent: CallTime) {}
+
+    /** The store does not answer; what was reported may be out of date. */
+    public fun onLost(reason: String) {}
+}
+
+/** A store whose parts can be followed with the age of what is known. */
+public interface FollowableStore : KeyValueStore {
+    /** Reports to [follower] all keys that start with [prefix], and then every change of them. */
+    public fun follow(prefix: String, follower: StoreFollower): StoreWatch
+}
--- a/platform/src/main/kotlin/io/quetzalfield/platform/KeyValueStore.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/KeyValueStore.kt
@@ -1,4 +1,4 @@
-package io.quetzalfield.platform
+package io.quetzalfield.store
 
 import arrow.core.Either
 import kotlin.time.Duration
--- a/platform/src/main/kotlin/io/quetzalfield/platform/bills/AccountBill.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/bills/AccountBill.kt
@@ -1,8 +1,8 @@
-package io.quetzalfield.platform.bills
+package io.quetzalfield.store.bills
 
 import io.quetzalfield.model.ClientAccountId
 import io.quetzalfield.model.Incarnation
-import io.quetzalfield.platform.PlatformJson
+import io.quetzalfield.store.PlatformJson
 import kotlinx.serialization.Serializable
 
 /** The prefix of the keys that hold what each client account owes for incarnations that have ended. */
--- a/platform/src/main/kotlin/io/quetzalfield/platform/engine/EngineMessages.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/engine/EngineMessages.kt
@@ -1,4 +1,4 @@
-package io.quetzalfield.platform.engine
+package io.quetzalfield.store.engine
 
 import io.quetzalfield.model.ModelVersionReference
 import kotlinx.serialization.SerialName
--- a/platform/src/main/kotlin/io/quetzalfield/platform/engine/PromptPrefix.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/engine/PromptPrefix.kt
@@ -1,4 +1,4 @@
-package io.quetzalfield.platform.engine
+package io.quetzalfield.store.engine
 
 import java.nio.ByteBuffer
 import java.security.MessageDigest
