--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -1,5 +1,6 @@
 package io.quetzalfield.forwarding
 
+import io.netty.channel.Channel
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -31,15 +32,18 @@
 import io.quetzalfield.model.InstanceId
 import io.quetzalfield.store.CallTime
 import io.quetzalfield.store.DutyLease
+import io.quetzalfield.store.FollowPace
 import io.quetzalfield.store.FollowableStore
 import io.quetzalfield.store.PlatformJson
 import io.quetzalfield.store.StoreChange
 import io.quetzalfield.store.StoreFollower
 import io.quetzalfield.store.StoreRevision
 import io.quetzalfield.store.StoredValue
+import io.quetzalfield.store.SwapResult
 import kotlinx.serialization.SerializationException
 import java.io.ByteArrayOutputStream
 import java.util.UUID
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
@@ -115,7 +119,11 @@
 
     @Volatile
     private var orders: List<RolloutOrder> = emptyList()
-    private var publishedObservations = HashMap<String, ObservationRecord>()
+    private val publishedObservations = HashMap<String, ObservationRecord>()
+    private val observationRevisions = HashMap<String, StoreRevision>()
+
+    /** Orders whose end has been reported. */
+    private val closedOrders: MutableSet<Long> = ConcurrentHashMap.newKeySet()
 
     /** Opens the addresses and starts to follow the platform. */
     public fun start() {
@@ -124,10 +132,9 @@
         listeners.listenForQuestions(settings.readinessAddress, ::answerReadiness)
         settings.directoryAddress?.let { listeners.listenForQuestions(it, ::answerDirectory) }
         listeners.listenForQuestions(ListenAddress(settings.callerAddress.host, settings.metricsPort), ::answerMetrics)
-        listeners.listenForCallers(settings.callerAddress, context, callers)
+        callerListener = listeners.listenForCallers(settings.callerAddress, context, callers)
         platform.start(Feed())
-        platform.store.follow(FleetKeys.MEMBERS, MemberFollower())
-        platform.store.follow(FleetKeys.STEPS, StepFollower())
+        platform.store.follow(FleetKeys.FOLLOWED, FleetFollower(), FleetPace)
         every(MembershipPeriod, membership::renew)
         every(DutyPeriod, ::workOnDuties)
         every(ObservationPeriod, ::publishObservations)
@@ -145,10 +152,15 @@
             duty.release()
         }
         val end = timeSource.markNow() + settings.shutdownGrace - ShutdownMargin
-        eventLoop.schedule({
+        after(settings.addressValidity * KEPT_VALIDITIES) {
             context.isShuttingDown = true
             callers.closeWhenIdle()
-        }, (settings.addressValidity * CACHED_VALIDITIES).inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        }
+        after(settings.addressValidity * CACHED_VALIDITIES - ListenerMargin) {
+            context.isRefusing = true
+            callerListener?.close()
+            callers.closeWhenIdle()
+        }
         eventLoop.scheduleWithFixedDelay({
             val isDone = context.isShuttingDown && context.openExchanges == 0 && callers.isEmpty
             if (isDone || end.hasPassedNow()) stopped.countDown()
@@ -159,7 +171,12 @@
         platform.close()
     }
 
+    private fun after(delay: Duration, task: () -> Unit) {
+        eventLoop.schedule(task, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
     private var isStopping = false
+    private var callerListener: Channel? = null
 
     private val isReady: Boolean
         get() = !isStopping && context.configuration.current != null && context.isConfigurationCurrent
@@ -187,22 +204,33 @@
     }
 
     private fun workOnDuties() {
-        val standing = orders
+        val standing = orders.filter(::isOpen)
         if (standing.isEmpty()) return
         duty.renew()
         rollouts.work(standing)
     }
 
+    /** Whether a roll-out still needs steps, or a report of its end. */
+    private fun isOpen(order: RolloutOrder): Boolean = order.revision.value !in closedOrders
+
     /** Stores what this instance has seen of versions while a roll-out runs. */
     private fun publishObservations() {
         val lease = membership.lease ?: return
-        for (order in orders) {
+        for (order in orders.filter(::isOpen)) {
             val seen = eventLoop.submit<ObservationRecord> { observationsOf(order) }.get()
             val key = FleetKeys.observations(order.service, incarnation)
             if (publishedObservations[key] == seen) continue
             val json = PlatformJson.encodeToString(ObservationRecord.serializer(), seen)
-            val expected = platform.store.read(key).getOrNull()?.modified ?: StoreRevision.Absent
-            if (platform.store.compareAndSwap(key, expected, json, lease).isRight()) publishedObservations[key] = seen
+            val expected = observationRevisions[key] ?: StoreRevision.Absent
+            val result = platform.store.compareAndSwap(key, expected, json, lease).getOrNull() ?: continue
+            when (result) {
+                is SwapResult.Swapped -> {
+                    observationRevisions[key] = result.stored
+                    publishedObservations[key] = seen
+                }
+
+                is SwapResult.Conflict -> observationRevisions[key] = result.current?.modified ?: StoreRevision.Absent
+            }
         }
     }
 
@@ -227,13 +255,12 @@
 
     private inner class Feed : PlatformListener {
         override fun configurationRead(configuration: RoutingConfiguration) = eventLoop.execute {
-            val isTaken = context.configuration.adopt(configuration)
+            if (!context.configuration.adopt(configuration)) return@execute
             DecisionLog.write(
                 "configuration",
                 "version" to configuration.version,
                 "revision" to configuration.revision.value,
                 "routes" to configuration.routes.size,
-                "taken" to isTaken,
             )
         }
 
@@ -244,7 +271,7 @@
         override fun endpointsRead(endpoints: List<EndpointDescription>) = eventLoop.execute {
             endpoints.forEach(::takeEndpoint)
             val gone = context.endpoints.retain(endpoints.mapTo(HashSet()) { it.id })
-            DecisionLog.write("endpoints", "listed" to endpoints.size, "vanished" to gone)
+            if (gone.isNotEmpty()) DecisionLog.write("endpoints", "listed" to endpoints.size, "vanished" to gone)
         }
 
         override fun endpointChanged(endpoint: EndpointDescription) = eventLoop.execute { takeEndpoint(endpoint) }
@@ -258,6 +285,7 @@
             this@RouterProgram.orders = orders
             eventLoop.execute {
                 for (order in orders) {
+                    if (versions.orderOf(order.service)?.second == order.revision.value) continue
                     versions.takeOrder(order.service, order.target, order.revision.value)
                     DecisionLog.write(
                         "rollout_order",
@@ -281,28 +309,31 @@
         }
     }
 
-    private inner class MemberFollower : StoreFollower {
-        override fun onState(values: List<StoredValue>) = eventLoop.execute { members.replace(values) }
-
-        override fun onChange(change: StoreChange) = eventLoop.execute { members.take(change) }
-
-        override fun onLost(reason: String) = DecisionLog.write("store_lost", "part" to "members", "reason" to reason)
-    }
-
-    private inner class StepFollower : StoreFollower {
-        override fun onState(values: List<StoredValue>) = values.forEach(::take)
+    private inner class FleetFollower : StoreFollower {
+        override fun onState(values: List<StoredValue>) {
+            val (records, others) = values.partition { it.key.startsWith(FleetKeys.MEMBERS) }
+            eventLoop.execute { members.replace(records) }
+            others.forEach(::takeStep)
+        }
 
         override fun onChange(change: StoreChange) {
-            change.value?.let(::take)
+            if (change.key.startsWith(FleetKeys.MEMBERS)) {
+                eventLoop.execute { members.take(change) }
+            } else {
+                change.value?.let(::takeStep)
+            }
         }
 
-        private fun take(value: StoredValue) {
+        override fun onLost(reason: String) = DecisionLog.write("store_lost", "part" to "fleet", "reason" to reason)
+
+        private fun takeStep(value: StoredValue) {
             val record = try {
                 PlatformJson.decodeFromString(RolloutRecord.serializer(), value.value)
             } catch (error: SerializationException) {
                 DecisionLog.write("record_unreadable", "key" to value.key, "reason" to error.message)
                 return
             }
+            if (record.isReported) closedOrders += record.step.orderRevision
             eventLoop.execute {
                 if (versions.takeStep(record.step)) {
                     DecisionLog.write("rollout_step_taken", "step" to record.step, "revision" to value.modified.value)
@@ -324,6 +355,12 @@
         /** Callers may keep an answer with addresses for up to three times its validity. */
         private const val CACHED_VALIDITIES = 3
 
+        /** After this many validities most callers have left, and the others are asked to. */
+        private const val KEPT_VALIDITIES = 2
+
+        /** A request that is sent within the callers' longest use of an answer is still taken. */
+        private val ListenerMargin = 200.milliseconds
+
         /** Covers the time from the check of the confirmation to the arrival at an endpoint. */
         private val RevocationMargin = 500.milliseconds
 
@@ -331,11 +368,14 @@
         private val MembershipPeriod = 1.seconds
 
         /** A fraction of the shortest time in which a bad version has to be taken back. */
-        private val DutyPeriod = 300.milliseconds
-        private val ObservationPeriod = 400.milliseconds
+        private val DutyPeriod = 800.milliseconds
+        private val ObservationPeriod = 1_000.milliseconds
+
+        /** Members change rarely, and a step of a roll-out comes at once. */
+        private val FleetPace = FollowPace(wait = 4.seconds, relistEvery = 10.seconds)
 
         /** A holder that dies is followed after this time. */
-        private val DutyTimeToLive = 2.seconds
+        private val DutyTimeToLive = 3.seconds
         private val DutyMargin = 500.milliseconds
 
         /** Left for the end of the process itself. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetKeys.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetKeys.kt
@@ -5,6 +5,9 @@
 
 /** Keys of the router in the store; docs/STATE.md lists all keys. */
 public object FleetKeys {
+    /** What every instance follows. */
+    public const val FOLLOWED: String = "fleet/"
+
     /** Instances that take requests, one key each under its lease. */
     public const val MEMBERS: String = "fleet/members/"
 
@@ -12,7 +15,7 @@
     public const val STEPS: String = "fleet/rollouts/"
 
     /** What instances have seen of versions, one key for each service and instance, under the instance's lease. */
-    public const val OBSERVATIONS: String = "fleet/observations/"
+    public const val OBSERVATIONS: String = "observations/"
 
     /** The key of [incarnation]'s membership. */
     public fun member(incarnation: Incarnation): String = "$MEMBERS$incarnation"
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
@@ -50,6 +50,15 @@
         }
     }
 
+    /** Tells [onResult] whether [address] accepts a connection, which is then kept for later requests. */
+    public fun probe(address: EndpointAddress, onResult: (Boolean) -> Unit) {
+        val pool = pools.getOrPut(address, ::Pool)
+        open(address, pool, onFailure = { onResult(false) }) { connection ->
+            pool.idle.addLast(connection)
+            onResult(true)
+        }
+    }
+
     /** Closes idle connections to [address]. */
     public fun closeIdle(address: EndpointAddress) {
         pools[address]?.idle?.toList()?.forEach(EndpointConnection::abandon)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -55,6 +55,7 @@
         context.openExchanges++
         val configuration = context.configuration.current
         when {
+            context.isRefusing -> refuse(AnswerReason.SHUTTING_DOWN)
             configuration == null -> refuse(AnswerReason.NO_CONFIGURATION)
             !context.isConfigurationCurrent -> refuse(AnswerReason.CONFIGURATION_UNCONFIRMED)
             else -> admit(configuration)
@@ -330,23 +331,34 @@
         /** Looks after the endpoint while it says nothing; a silent connection shows by nothing else. */
         private fun watchSilence() {
             val limit = silenceLimit()
-            silenceTimer = schedule(limit - lastHeard.elapsedNow()) {
+            silenceTimer = schedule(maxOf(limit - lastSign().elapsedNow(), ShortestCheck)) {
                 if (isOver) return@schedule
-                val lastSign = maxOf(lastHeard, endpoint.lastHeard ?: sentAt)
-                if (lastSign.elapsedNow() < limit || !route.isStream && lastHeard.elapsedNow() < limit) {
-                    watchSilence()
-                } else {
-                    silent()
+                when {
+                    lastSign().elapsedNow() < limit -> watchSilence()
+                    route.isStream && lastHeard.elapsedNow() < limit * PATIENT_LIMITS -> probe()
+                    else -> silent()
                 }
             }
         }
 
+        /** A busy engine answers its requests one after the other; a plain service answers each by itself. */
+        private fun lastSign() = if (route.isStream) maxOf(lastHeard, endpoint.lastHeard ?: sentAt) else lastHeard
+
         private fun silenceLimit(): Duration = if (route.isStream) {
             maxOf(LeastStreamSilence, minOf(route.objective, route.longestPause) * STREAM_SILENCE_SHARE)
         } else {
             maxOf(LeastCallSilence, route.objective * CALL_SILENCE_OBJECTIVES)
         }
 
+        /** An endpoint that accepts connections is busy, most likely; one that does not is lost. */
+        private fun probe() {
+            context.connections.probe(endpoint.description.address) { isReached ->
+                if (isOver) return@probe
+                if (isReached) endpoint.lastHeard = context.timeSource.markNow()
+                if (isReached) watchSilence() else silent()
+            }
+        }
+
         private fun silent() {
             if (attemptsSent >= route.attemptLimit || remaining() <= LeastUsefulTime) return
             log("silent", "endpoint" to endpoint, "since" to lastHeard.elapsedNow())
@@ -577,6 +589,10 @@
         val LeastStreamSilence = 1_300.milliseconds
         const val STREAM_SILENCE_SHARE = 0.7
 
+        /** Limits for which an endpoint is waited for that accepts connections but sends nothing. */
+        const val PATIENT_LIMITS = 3
+        val ShortestCheck = 50.milliseconds
+
         /** Several times the usual answer of a plain service. */
         val LeastCallSilence = 250.milliseconds
         const val CALL_SILENCE_OBJECTIVES = 2
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -42,6 +42,9 @@
     /** Whether this instance is ending; answers then ask callers to close their connections. */
     public var isShuttingDown: Boolean = false
 
+    /** Whether this instance takes no more requests. */
+    public var isRefusing: Boolean = false
+
     /** Requests that have no final answer yet. */
     public var openExchanges: Int = 0
 
--- a/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
@@ -1,6 +1,9 @@
 package io.quetzalfield.store
 
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** The moment at which a call was sent, by the monotonic clock and by the time of day. */
@@ -21,8 +24,22 @@
     public fun onLost(reason: String) {}
 }
 
+/**
+ * How closely a part of the store is followed. Every call is paid for.
+ *
+ * @property wait longest wait of one watch; a silent connection is noticed a little later.
+ * @property relistEvery time after which the keys are listed again, as a watch may miss changes while the store drops
+ * its history.
+ * @property batchPause pause after an answer with changes, so that the next one brings several.
+ */
+public data class FollowPace(
+    val wait: Duration = 1_500.milliseconds,
+    val relistEvery: Duration = 3.seconds,
+    val batchPause: Duration = 20.milliseconds,
+)
+
 /** A store whose parts can be followed with the age of what is known. */
 public interface FollowableStore : KeyValueStore {
     /** Reports to [follower] all keys that start with [prefix], and then every change of them. */
-    public fun follow(prefix: String, follower: StoreFollower): StoreWatch
+    public fun follow(prefix: String, follower: StoreFollower, pace: FollowPace = FollowPace()): StoreWatch
 }
