--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -234,12 +234,11 @@
         }
     }
 
-    private fun observationsOf(order: RolloutOrder): ObservationRecord =
-        ObservationRecord(
-            context.observer.observationsOf(order.service).mapValues { (_, seen) ->
-                ObservationRecord.Counts(seen.answers, seen.errors, seen.slow)
-            },
-        )
+    private fun observationsOf(order: RolloutOrder): ObservationRecord = ObservationRecord(
+        context.observer.observationsOf(order.service).mapValues { (_, seen) ->
+            ObservationRecord.Counts(seen.answers, seen.errors, seen.slow)
+        },
+    )
 
     private fun every(period: Duration, task: () -> Unit) {
         val guarded = Runnable {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
@@ -55,7 +55,9 @@
     }
 
     private fun occupancyTokens(endpoint: Endpoint, now: ComparableTimeMark): Long {
-        val reported = endpoint.load.takeIf { endpoint.loadReportedAt.let { at -> at != null && now - at < LoadValidity } }
+        val reported = endpoint.load.takeIf {
+            endpoint.loadReportedAt.let { at -> at != null && now - at < LoadValidity }
+        }
         val running = maxOf(endpoint.inFlight, reported?.running ?: 0)
         val waiting = (reported?.waiting ?: 0) + (running - endpoint.description.capacity).coerceAtLeast(0)
         return running * RUNNING_TOKENS + waiting * WAITING_TOKENS
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectory.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectory.kt
@@ -71,7 +71,8 @@
     public fun lastResort(service: ServiceId): List<Endpoint> {
         val now = timeSource.markNow()
         return endpoints.values.filter {
-            it.description.service == service && !it.isGone && !it.description.isLeaving && it.isWithin(now, returnGrace)
+            it.description.service == service && !it.isGone && !it.description.isLeaving &&
+                it.isWithin(now, returnGrace)
         }
     }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
@@ -14,11 +14,12 @@
     /** Whether callers may be sent to this instance. */
     public var isOwnTaking: Boolean = false
 
-    /** Instances that share the bounds of the whole fleet; at least this one. */
-    public val count: Int get() = (records.values.map(MemberRecord::incarnation) + own.incarnation).distinct().size
-
     /** The incarnations that are listed, with this one. */
-    public val incarnations: Set<Incarnation> get() = records.values.mapTo(HashSet()) { it.incarnation } + own.incarnation
+    public val incarnations: Set<Incarnation>
+        get() = records.values.mapTo(HashSet()) { it.incarnation } + own.incarnation
+
+    /** Instances that share the bounds of the whole fleet; at least this one. */
+    public val count: Int get() = incarnations.size
 
     /** Takes the whole list. */
     public fun replace(values: List<StoredValue>) {
@@ -35,8 +36,8 @@
 
     /** The addresses to give to callers: those of all listed instances, this one only while it takes requests. */
     public fun addresses(): List<String> {
-        val others = records.values.filter { it.isTaking && it.incarnation != own.incarnation }.map(MemberRecord::address)
-        val all = if (isOwnTaking) others + own.address else others
+        val others = records.values.filter { it.isTaking && it.incarnation != own.incarnation }
+        val all = others.map(MemberRecord::address) + listOfNotNull(own.address.takeIf { isOwnTaking })
         return all.distinct()
     }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
@@ -102,7 +102,8 @@
     private fun proceed(order: RolloutOrder, key: String, revision: StoreRevision, standing: RolloutRecord) {
         val seen = observationsOf(order.service) ?: return
         val new = seen[order.target] ?: RolloutObservations()
-        val baseline = seen.filterKeys { it != order.target }.values.fold(RolloutObservations(), RolloutObservations::plus)
+        val others = seen.filterKeys { it != order.target }.values
+        val baseline = others.fold(RolloutObservations(), RolloutObservations::plus)
         val scheduled = schedule.next(elapsed(order, standing), order.ramp, new, baseline)
         val step = when (scheduled) {
             is ScheduledStep.Share -> standing.step.copy(share = maxOf(scheduled.share, standing.step.share))
@@ -168,7 +169,7 @@
     }
 
     private companion object {
-        /** Bounds what a step of the time of day adds to the age of a roll-out at a holder that did not see it start. */
+        /** Bounds what a step of the time of day adds to the age of a roll-out. */
         val LongestTakeover = 10_000.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
@@ -120,10 +121,11 @@
         if (part is HttpContent && !isClosing) readBody(part)
     }
 
-    private fun malformed(cause: Throwable) = if (cause is TooLongHttpHeaderException || cause is TooLongHttpLineException) {
-        reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, AnswerReason.HEADER_TOO_LARGE)
-    } else {
-        reject(HttpResponseStatus.BAD_REQUEST, AnswerReason.BAD_REQUEST)
+    private fun malformed(cause: Throwable) = when (cause) {
+        is TooLongHttpHeaderException, is TooLongHttpLineException ->
+            reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, AnswerReason.HEADER_TOO_LARGE)
+
+        else -> reject(HttpResponseStatus.BAD_REQUEST, AnswerReason.BAD_REQUEST)
     }
 
     private fun readHead(request: HttpRequest) {
@@ -135,7 +137,10 @@
             request.headers().getAll(HttpHeaderNames.HOST).size != 1 ->
                 reject(HttpResponseStatus.BAD_REQUEST, AnswerReason.BAD_REQUEST)
 
-            announced > limits.bodyBytes -> reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, AnswerReason.BODY_TOO_LARGE)
+            announced > limits.bodyBytes -> reject(
+                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                AnswerReason.BODY_TOO_LARGE,
+            )
 
             else -> {
                 body = Unpooled.compositeBuffer(MOST_BODY_COMPONENTS)
@@ -168,9 +173,8 @@
 
     private fun answered() {
         exchange = null
-        val wasHead = message
         message = null
-        if (wasHead != null && isKept && !isClosing && !context.isShuttingDown) startIdleTimer()
+        if (!mustClose() && !isClosing) startIdleTimer()
         // Later requests start from the event loop, not within the end of this one.
         context.eventLoop.execute(::readOn)
     }
@@ -221,7 +225,8 @@
         write(whole)
     }
 
-    private fun seconds(duration: Duration) = String.format(Locale.ROOT, "%.2f", duration.toDouble(DurationUnit.SECONDS))
+    private fun seconds(duration: Duration) =
+        String.format(Locale.ROOT, "%.2f", duration.toDouble(DurationUnit.SECONDS))
 
     private fun write(response: DefaultFullHttpResponse) {
         markConnection(response)
@@ -269,7 +274,7 @@
     }
 
     private fun copyHeaders(from: HttpResponse, to: HttpResponse) {
-        val named = from.headers().getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.map { it.trim().lowercase() }
+        val named = headersNamedByConnection(from.headers())
         for ((name, value) in from.headers()) {
             val lower = name.lowercase()
             if (lower !in ConnectionHeaders && lower !in named) to.headers().add(name, value)
@@ -299,6 +304,10 @@
     "content-length",
 )
 
+/** The headers, in lower case, that a message declares to concern its connection only. */
+public fun headersNamedByConnection(headers: HttpHeaders): Set<String> =
+    headers.getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.mapTo(HashSet()) { it.trim().lowercase() }
+
 /** The callers' connections that are open. Used on the event loop only. */
 public class CallerConnections {
     private val open = LinkedHashSet<CallerConnection>()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.socket.SocketChannel
+import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
@@ -17,7 +18,6 @@
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.util.AsciiString
 import io.netty.util.ReferenceCountUtil
 import io.quetzalfield.forwarding.endpoints.EndpointAddress
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -101,7 +101,11 @@
     private fun pickService(): ServiceId {
         val total = route.services.sumOf { it.weight }
         var position = if (total > 0) context.random.nextInt(total) else 0
-        return (route.services.firstOrNull { position -= it.weight; position < 0 } ?: route.services.first()).service
+        val picked = route.services.firstOrNull {
+            position -= it.weight
+            position < 0
+        }
+        return (picked ?: route.services.first()).service
     }
 
     /** Sends the request to the endpoint that suits best now. */
@@ -455,14 +459,12 @@
 
         private fun pass(event: StreamEvent) {
             val last = lastEvent
-            if (event.number != null && last != null && event.number <= last) {
-                event.bytes.release()
-                return
-            }
-            if (hasBegun && event.number != null && last != null && event.number != last + 1) {
-                event.bytes.release()
-                broken("event ${event.number} after $last")
-                return
+            if (event.number != null && last != null) {
+                if (event.number <= last) return event.bytes.release().let { }
+                if (hasBegun && event.number != last + 1) {
+                    event.bytes.release()
+                    return broken("event ${event.number} after $last")
+                }
             }
             if (!hasBegun) beginReply()
             if (event.number != null) lastEvent = event.number
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/HttpListeners.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/HttpListeners.kt
@@ -33,7 +33,11 @@
 private const val QUESTION_IDLE_SECONDS = 15L
 
 /** An answer of one of the small interfaces: addresses, readiness, metrics. */
-public class PlainAnswer(public val status: Int, public val contentType: String? = null, public val body: ByteArray? = null)
+public class PlainAnswer(
+    public val status: Int,
+    public val contentType: String? = null,
+    public val body: ByteArray? = null,
+)
 
 /** Opens the addresses at which this process is called. */
 public class HttpListeners(private val group: EventLoopGroup) {
--- /dev/null
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RetryAllowanceTest.kt
@@ -0,0 +1,49 @@
+package io.quetzalfield.forwarding.choice
+
+import io.quetzalfield.model.ServiceId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+class RetryAllowanceTest {
+    private val service = ServiceId("bookings")
+    private val bounds = RetryBounds(ratio = 0.5, slack = 20.0, window = 10.seconds)
+
+    private fun RetryAllowance.spendAll(): Int = generateSequence { trySpend(service) }.takeWhile { it }.count()
+
+    @Test
+    fun `all members together stay within the slack`() {
+        val timeSource = TestTimeSource()
+        val spent = (1..4).sumOf { RetryAllowance(bounds, timeSource) { 4 }.spendAll() }
+        assertTrue(spent <= bounds.slack, "spent $spent")
+    }
+
+    @Test
+    fun `requests earn repeats, and both leave the window`() {
+        val timeSource = TestTimeSource()
+        val allowance = RetryAllowance(bounds, timeSource) { 1 }
+        val slackOnly = allowance.spendAll()
+        repeat(100) { allowance.countRequest(service) }
+        assertEquals(40, allowance.spendAll())
+        timeSource += bounds.window + 1.milliseconds
+        assertEquals(slackOnly, allowance.spendAll())
+    }
+
+    /** The pattern: every request of a service fails and each wants to be sent again. */
+    @Test
+    fun `in no window do repeats exceed the bound while everything fails`() {
+        val timeSource = TestTimeSource()
+        val allowance = RetryAllowance(bounds, timeSource) { 1 }
+        val repeats = mutableListOf<Int>()
+        repeat(60) {
+            repeat(10) { allowance.countRequest(service) }
+            repeats += (1..10).count { allowance.trySpend(service) }
+            timeSource += 1.seconds
+        }
+        val most = repeats.windowed(10).maxOf(List<Int>::sum)
+        assertTrue(most <= bounds.ratio * 100 + bounds.slack, "$most repeats in a window")
+    }
+}
--- /dev/null
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/http/EventSplitterTest.kt
@@ -0,0 +1,47 @@
+package io.quetzalfield.forwarding.http
+
+import io.netty.buffer.Unpooled
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class EventSplitterTest {
+    private val splitter = EventSplitter()
+
+    private fun add(text: String): List<Pair<Long?, String>> =
+        splitter.add(Unpooled.copiedBuffer(text, Charsets.UTF_8)).map { event ->
+            (event.number to event.bytes.toString(Charsets.UTF_8)).also { event.bytes.release() }
+        }
+
+    @Test
+    fun `whole events come out as they were, with their numbers`() {
+        assertEquals(
+            listOf(1L to "id: 1\ndata: a\n\n", 2L to "id: 2\ndata: b\n\n"),
+            add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+        )
+        assertFalse(splitter.hasPartialEvent)
+    }
+
+    @Test
+    fun `an event that is cut anywhere comes out whole`() {
+        val event = "id: 12\r\ndata: some text\r\n\r\n"
+        for (cut in 1 until event.length) {
+            val first = add(event.substring(0, cut))
+            val second = add(event.substring(cut))
+            assertEquals(listOf(12L to event), first + second, "cut at $cut")
+            assertFalse(splitter.hasPartialEvent)
+        }
+    }
+
+    @Test
+    fun `what follows the last whole event is held back`() {
+        assertEquals(1, add("id: 1\ndata: a\n\nid: 2\nda").size)
+        assertTrue(splitter.hasPartialEvent)
+    }
+
+    @Test
+    fun `an event without a number has none`() {
+        assertEquals(listOf(null to "data: a\n\n"), add("data: a\n\n"))
+    }
+}
