--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/PlatformFeed.kt
@@ -0,0 +1,74 @@
+package io.quetzalfield.forwarding
+
+import io.quetzalfield.forwarding.configuration.RoutingConfiguration
+import io.quetzalfield.forwarding.endpoints.EndpointChange
+import io.quetzalfield.forwarding.endpoints.EndpointDescription
+import io.quetzalfield.forwarding.endpoints.EndpointId
+import io.quetzalfield.forwarding.fleet.RolloutOrder
+import io.quetzalfield.forwarding.http.RoutingContext
+import io.quetzalfield.store.CallTime
+
+/**
+ * Takes what the platform tells into the state of the event loop.
+ *
+ * @param onOrders receives the operator's orders on the platform's thread.
+ */
+internal class PlatformFeed(private val context: RoutingContext, private val onOrders: (List<RolloutOrder>) -> Unit) :
+    PlatformListener {
+    private val eventLoop get() = context.eventLoop
+    private val versions get() = context.versions
+
+    override fun configurationRead(configuration: RoutingConfiguration) = eventLoop.execute {
+        if (!context.configuration.adopt(configuration)) return@execute
+        DecisionLog.write(
+            "configuration",
+            "version" to configuration.version,
+            "revision" to configuration.revision.value,
+            "routes" to configuration.routes.size,
+        )
+    }
+
+    override fun configurationConfirmed(sent: CallTime) = eventLoop.execute {
+        context.configuration.confirm(sent.mark, sent.instant)
+    }
+
+    override fun endpointsRead(endpoints: List<EndpointDescription>) = eventLoop.execute {
+        endpoints.forEach(::takeEndpoint)
+        val gone = context.endpoints.retain(endpoints.mapTo(HashSet()) { it.id })
+        if (gone.isNotEmpty()) DecisionLog.write("endpoints", "listed" to endpoints.size, "vanished" to gone)
+    }
+
+    override fun endpointChanged(endpoint: EndpointDescription) = eventLoop.execute { takeEndpoint(endpoint) }
+
+    override fun endpointRemoved(endpoint: EndpointId) = eventLoop.execute {
+        val change = context.endpoints.remove(endpoint)
+        DecisionLog.write("endpoint", "endpoint" to endpoint, "change" to change)
+    }
+
+    override fun rolloutsRead(orders: List<RolloutOrder>) {
+        onOrders(orders)
+        eventLoop.execute {
+            for (order in orders) {
+                if (versions.orderOf(order.service)?.second == order.revision.value) continue
+                versions.takeOrder(order.service, order.target, order.revision.value)
+                DecisionLog.write(
+                    "rollout_order",
+                    "service" to order.service.value,
+                    "target" to order.target.value,
+                    "ramp" to order.ramp,
+                    "revision" to order.revision.value,
+                )
+            }
+        }
+    }
+
+    private fun takeEndpoint(endpoint: EndpointDescription) {
+        val change = context.endpoints.update(endpoint)
+        val known = context.endpoints.find(endpoint.id) ?: return
+        context.configuration.current?.services?.get(endpoint.service)?.memoryTokens?.let {
+            known.cachedParts.capacityTokens = it
+        }
+        if (change == EndpointChange.NONE) return
+        DecisionLog.write("endpoint", "endpoint" to known, "version" to endpoint.version.value, "change" to change)
+    }
+}
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -9,9 +9,8 @@
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.VersionSplit
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
-import io.quetzalfield.forwarding.configuration.RoutingConfiguration
-import io.quetzalfield.forwarding.endpoints.EndpointDescription
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
+import io.quetzalfield.forwarding.fleet.FleetFollower
 import io.quetzalfield.forwarding.fleet.FleetKeys
 import io.quetzalfield.forwarding.fleet.MemberRecord
 import io.quetzalfield.forwarding.fleet.Members
@@ -19,28 +18,18 @@
 import io.quetzalfield.forwarding.fleet.ObservationRecord
 import io.quetzalfield.forwarding.fleet.RolloutDuty
 import io.quetzalfield.forwarding.fleet.RolloutOrder
-import io.quetzalfield.forwarding.fleet.RolloutRecord
-import io.quetzalfield.forwarding.fleet.RolloutReports
 import io.quetzalfield.forwarding.http.CallerConnections
-import io.quetzalfield.forwarding.http.DirectoryDialect
 import io.quetzalfield.forwarding.http.EndpointConnections
-import io.quetzalfield.forwarding.http.HeaderDialect
 import io.quetzalfield.forwarding.http.HttpListeners
 import io.quetzalfield.forwarding.http.PlainAnswer
 import io.quetzalfield.forwarding.http.RoutingContext
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceId
-import io.quetzalfield.store.CallTime
 import io.quetzalfield.store.DutyLease
 import io.quetzalfield.store.FollowPace
-import io.quetzalfield.store.FollowableStore
 import io.quetzalfield.store.PlatformJson
-import io.quetzalfield.store.StoreChange
-import io.quetzalfield.store.StoreFollower
 import io.quetzalfield.store.StoreRevision
-import io.quetzalfield.store.StoredValue
 import io.quetzalfield.store.SwapResult
-import kotlinx.serialization.SerializationException
 import java.io.ByteArrayOutputStream
 import java.util.UUID
 import java.util.concurrent.ConcurrentHashMap
@@ -52,38 +41,6 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/** What the platform tells the router, from any thread. */
-public interface PlatformListener {
-    /** The operator's configuration has been read. */
-    public fun configurationRead(configuration: RoutingConfiguration)
-
-    /** The configuration last read was the newest when the call at [sent] was sent. */
-    public fun configurationConfirmed(sent: CallTime)
-
-    /** Exactly [endpoints] have entries. */
-    public fun endpointsRead(endpoints: List<EndpointDescription>)
-
-    /** One endpoint's entry has changed. */
-    public fun endpointChanged(endpoint: EndpointDescription)
-
-    /** One endpoint's entry has disappeared. */
-    public fun endpointRemoved(endpoint: io.quetzalfield.forwarding.endpoints.EndpointId)
-
-    /** Exactly these roll-outs are ordered. */
-    public fun rolloutsRead(orders: List<RolloutOrder>)
-}
-
-/** The platform under the router: its store, its words and its feeds. */
-public interface RouterPlatform : AutoCloseable {
-    public val store: FollowableStore
-    public val headers: HeaderDialect
-    public val directory: DirectoryDialect
-    public val rolloutReports: RolloutReports
-
-    /** Starts to report to [listener]. */
-    public fun start(listener: PlatformListener)
-}
-
 /** One instance of the router. */
 public class RouterProgram(
     private val settings: RouterSettings,
@@ -133,8 +90,12 @@
         settings.directoryAddress?.let { listeners.listenForQuestions(it, ::answerDirectory) }
         listeners.listenForQuestions(ListenAddress(settings.callerAddress.host, settings.metricsPort), ::answerMetrics)
         callerListener = listeners.listenForCallers(settings.callerAddress, context, callers)
-        platform.start(Feed())
-        platform.store.follow(FleetKeys.FOLLOWED, FleetFollower(), FleetPace)
+        platform.start(PlatformFeed(context) { orders = it })
+        platform.store.follow(
+            FleetKeys.FOLLOWED,
+            FleetFollower(context, members, onReported = closedOrders::add),
+            FleetPace,
+        )
         every(MembershipPeriod, membership::renew)
         every(DutyPeriod, ::workOnDuties)
         every(ObservationPeriod, ::publishObservations)
@@ -252,95 +213,6 @@
         scheduler.scheduleWithFixedDelay(guarded, 0, period.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
-    private inner class Feed : PlatformListener {
-        override fun configurationRead(configuration: RoutingConfiguration) = eventLoop.execute {
-            if (!context.configuration.adopt(configuration)) return@execute
-            DecisionLog.write(
-                "configuration",
-                "version" to configuration.version,
-                "revision" to configuration.revision.value,
-                "routes" to configuration.routes.size,
-            )
-        }
-
-        override fun configurationConfirmed(sent: CallTime) = eventLoop.execute {
-            context.configuration.confirm(sent.mark, sent.instant)
-        }
-
-        override fun endpointsRead(endpoints: List<EndpointDescription>) = eventLoop.execute {
-            endpoints.forEach(::takeEndpoint)
-            val gone = context.endpoints.retain(endpoints.mapTo(HashSet()) { it.id })
-            if (gone.isNotEmpty()) DecisionLog.write("endpoints", "listed" to endpoints.size, "vanished" to gone)
-        }
-
-        override fun endpointChanged(endpoint: EndpointDescription) = eventLoop.execute { takeEndpoint(endpoint) }
-
-        override fun endpointRemoved(endpoint: io.quetzalfield.forwarding.endpoints.EndpointId) = eventLoop.execute {
-            val change = context.endpoints.remove(endpoint)
-            DecisionLog.write("endpoint", "endpoint" to endpoint, "change" to change)
-        }
-
-        override fun rolloutsRead(orders: List<RolloutOrder>) {
-            this@RouterProgram.orders = orders
-            eventLoop.execute {
-                for (order in orders) {
-                    if (versions.orderOf(order.service)?.second == order.revision.value) continue
-                    versions.takeOrder(order.service, order.target, order.revision.value)
-                    DecisionLog.write(
-                        "rollout_order",
-                        "service" to order.service.value,
-                        "target" to order.target.value,
-                        "ramp" to order.ramp,
-                        "revision" to order.revision.value,
-                    )
-                }
-            }
-        }
-
-        private fun takeEndpoint(endpoint: EndpointDescription) {
-            val change = context.endpoints.update(endpoint)
-            val known = context.endpoints.find(endpoint.id) ?: return
-            context.configuration.current?.services?.get(endpoint.service)?.memoryTokens?.let {
-                known.cachedParts.capacityTokens = it
-            }
-            if (change == io.quetzalfield.forwarding.endpoints.EndpointChange.NONE) return
-            DecisionLog.write("endpoint", "endpoint" to known, "version" to endpoint.version.value, "change" to change)
-        }
-    }
-
-    private inner class FleetFollower : StoreFollower {
-        override fun onState(values: List<StoredValue>) {
-            val (records, others) = values.partition { it.key.startsWith(FleetKeys.MEMBERS) }
-            eventLoop.execute { members.replace(records) }
-            others.forEach(::takeStep)
-        }
-
-        override fun onChange(change: StoreChange) {
-            if (change.key.startsWith(FleetKeys.MEMBERS)) {
-                eventLoop.execute { members.take(change) }
-            } else {
-                change.value?.let(::takeStep)
-            }
-        }
-
-        override fun onLost(reason: String) = DecisionLog.write("store_lost", "part" to "fleet", "reason" to reason)
-
-        private fun takeStep(value: StoredValue) {
-            val record = try {
-                PlatformJson.decodeFromString(RolloutRecord.serializer(), value.value)
-            } catch (error: SerializationException) {
-                DecisionLog.write("record_unreadable", "key" to value.key, "reason" to error.message)
-                return
-            }
-            if (record.isReported) closedOrders += record.step.orderRevision
-            eventLoop.execute {
-                if (versions.takeStep(record.step)) {
-                    DecisionLog.write("rollout_step_taken", "step" to record.step, "revision" to value.modified.value)
-                }
-            }
-        }
-    }
-
     public companion object {
         /** Path at which metrics are served. */
         public const val METRICS_PATH: String = "/metrics"
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
@@ -0,0 +1,53 @@
+package io.quetzalfield.forwarding.fleet
+
+import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.forwarding.http.RoutingContext
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreChange
+import io.quetzalfield.store.StoreFollower
+import io.quetzalfield.store.StoredValue
+import kotlinx.serialization.SerializationException
+
+/**
+ * Takes the fleet's keys in the store into the state of the event loop.
+ *
+ * @param onReported receives the revision of each order whose end the operator has been told of.
+ */
+internal class FleetFollower(
+    private val context: RoutingContext,
+    private val members: Members,
+    private val onReported: (Long) -> Unit,
+) : StoreFollower {
+    private val eventLoop get() = context.eventLoop
+
+    override fun onState(values: List<StoredValue>) {
+        val (records, others) = values.partition { it.key.startsWith(FleetKeys.MEMBERS) }
+        eventLoop.execute { members.replace(records) }
+        others.forEach(::takeStep)
+    }
+
+    override fun onChange(change: StoreChange) {
+        if (change.key.startsWith(FleetKeys.MEMBERS)) {
+            eventLoop.execute { members.take(change) }
+        } else {
+            change.value?.let(::takeStep)
+        }
+    }
+
+    override fun onLost(reason: String) = DecisionLog.write("store_lost", "part" to "fleet", "reason" to reason)
+
+    private fun takeStep(value: StoredValue) {
+        val record = try {
+            PlatformJson.decodeFromString(RolloutRecord.serializer(), value.value)
+        } catch (error: SerializationException) {
+            DecisionLog.write("record_unreadable", "key" to value.key, "reason" to error.message)
+            return
+        }
+        if (record.isReported) onReported(record.step.orderRevision)
+        eventLoop.execute {
+            if (context.versions.takeStep(record.step)) {
+                DecisionLog.write("rollout_step_taken", "step" to record.step, "revision" to value.modified.value)
+            }
+        }
+    }
+}
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Membership.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Membership.kt
@@ -28,7 +28,7 @@
     val isTaking: Boolean = true,
 )
 
-/** Keeps this instance's record in the store under a lease. Called by one thread. */
+/** Keeps this instance's record in the store under a lease, until it leaves. */
 public class Membership(
     private val store: KeyValueStore,
     private val record: MemberRecord,
@@ -36,6 +36,7 @@
 ) {
     private val key = FleetKeys.member(record.incarnation)
     private var isRecorded = false
+    private var hasLeft = false
 
     /** The lease under which this instance's keys live; `null` while it has none. */
     @Volatile
@@ -43,7 +44,9 @@
         private set
 
     /** Extends the lease, or joins anew when it has lapsed. Call it several times within the time to live. */
+    @Synchronized
     public fun renew() {
+        if (hasLeft) return
         val current = lease
         if (current != null && isRecorded) {
             val isAlive = store.keepAlive(current).getOrElse { return }
@@ -53,8 +56,10 @@
         join()
     }
 
-    /** Tells the others that no more callers should be sent here. */
+    /** Tells the others that no more callers should be sent here; final for this incarnation. */
+    @Synchronized
     public fun leave() {
+        hasLeft = true
         val current = lease ?: return
         lease = null
         isRecorded = false
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -7,6 +7,7 @@
 import io.quetzalfield.forwarding.DecisionLog
 import io.quetzalfield.forwarding.RepeatReason
 import io.quetzalfield.forwarding.choice.FirstAnswer
+import io.quetzalfield.forwarding.choice.RolloutPhase
 import io.quetzalfield.forwarding.choice.Work
 import io.quetzalfield.forwarding.configuration.ClientAccount
 import io.quetzalfield.forwarding.configuration.Route
@@ -50,6 +51,9 @@
     private var lastEvent: Long? = head.lastEvent
     private var streamVersion: VersionId? = null
 
+    /** Versions whose endpoints failed the request; others go first when it is repeated. */
+    private val failedVersions = HashSet<VersionId>()
+
     /** Decides on the request and sends it on, or answers it at once. */
     public fun start() {
         context.openExchanges++
@@ -128,11 +132,19 @@
     private fun candidates(): List<Endpoint> {
         val subject = head.session?.value ?: head.id?.value.orEmpty()
         val eligible = context.endpoints.eligible(service)
-        val allowed = context.versions.filter(service, subject, eligible).ofStreamVersion()
+        val chosen = context.versions.filter(service, subject, eligible).ofStreamVersion()
+        val allowed = if (failedVersions.isEmpty()) chosen else awayFromFailed(chosen, eligible)
         val fresh = allowed.filterNot(tried::contains)
         return fresh.ifEmpty { allowed }.ifEmpty { lastResort(eligible) }
     }
 
+    /** A version that is being rolled out and failed the request does not get it again. */
+    private fun awayFromFailed(chosen: List<Endpoint>, eligible: List<Endpoint>): List<Endpoint> {
+        val step = context.versions.stepOf(service)
+        if (hasBegun || step?.phase != RolloutPhase.RUNNING || step.target !in failedVersions) return chosen
+        return eligible.filter { it.description.version != step.target }.ifEmpty { chosen }
+    }
+
     private fun lastResort(eligible: List<Endpoint>): List<Endpoint> =
         if (eligible.isEmpty()) context.endpoints.lastResort(service).ofStreamVersion() else emptyList()
 
@@ -526,6 +538,7 @@
         }
 
         private fun countFailure() {
+            failedVersions += endpoint.description.version
             context.observer.countError(service, endpoint.description.version)
             avoid(endpoint)
         }
