--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -5,6 +5,7 @@
 import io.quetzalfield.model.VersionId
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** One start of a runner, named by the runner itself. */
 @JvmInline
@@ -57,11 +58,11 @@
     /** When the last bytes came from it. */
     public var lastHeard: ComparableTimeMark? = null
 
-    /** No new work before this time, as attempts have failed. */
+    /** No new work before this time, as attempts have failed; `null` when none has. */
     public var avoidedUntil: ComparableTimeMark? = null
+        private set
 
-    /** Failures in a row. */
-    public var failuresInRow: Int = 0
+    private var failuresInRow = 0
 
     /** When its entry disappeared from the store. */
     public var vanishedAt: ComparableTimeMark? = null
@@ -77,5 +78,39 @@
     /** Whether it may get new work: registered, not leaving. */
     public val isEligible: Boolean get() = !isGone && !description.isLeaving && vanishedAt == null
 
+    /** Notes a failure at [now]: the endpoint is passed over for a while, longer with each failure in a row. */
+    public fun failed(now: ComparableTimeMark) {
+        avoidedUntil = now + FailurePause * (1 shl failuresInRow)
+        failuresInRow = (failuresInRow + 1).coerceAtMost(MOST_DOUBLINGS)
+    }
+
+    /** Notes that the endpoint turned a request away at [now] as it is full. */
+    public fun turnedAway(now: ComparableTimeMark) {
+        avoidedUntil = now + FullPause
+    }
+
+    /** Notes a whole answer. */
+    public fun succeeded() {
+        failuresInRow = 0
+    }
+
+    /** Notes that the endpoint has started anew: it holds and knows nothing of before. */
+    public fun startAnew() {
+        cachedParts.clear()
+        load = null
+        avoidedUntil = null
+        failuresInRow = 0
+        isGone = false
+    }
+
     override fun toString(): String = "${description.id}@${description.address}"
+
+    private companion object {
+        /** About the time in which a crashed process is noticed by its entry or started again. */
+        val FailurePause = 500.milliseconds
+        const val MOST_DOUBLINGS = 3
+
+        /** Time in which a full endpoint ends a request or two. */
+        val FullPause = 150.milliseconds
+    }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectory.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectory.kt
@@ -79,14 +79,6 @@
     private fun Endpoint.isWithin(now: ComparableTimeMark, limit: Duration): Boolean =
         vanishedAt?.let { now - it <= limit } ?: true
 
-    private fun Endpoint.startAnew() {
-        cachedParts.clear()
-        load = null
-        avoidedUntil = null
-        failuresInRow = 0
-        isGone = false
-    }
-
     private fun forgetOld() {
         val now = timeSource.markNow()
         endpoints.values.removeAll { it.inFlight == 0 && !it.isWithin(now, MemoryOfEnded) }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -8,6 +8,8 @@
 import io.quetzalfield.forwarding.RepeatReason
 import io.quetzalfield.forwarding.choice.FirstAnswer
 import io.quetzalfield.forwarding.choice.RolloutPhase
+import io.quetzalfield.forwarding.choice.SilencePolicy
+import io.quetzalfield.forwarding.choice.SilenceVerdict
 import io.quetzalfield.forwarding.choice.Work
 import io.quetzalfield.forwarding.configuration.ClientAccount
 import io.quetzalfield.forwarding.configuration.Route
@@ -157,7 +159,7 @@
     }
 
     private fun connectFailed(endpoint: Endpoint, failure: ConnectFailure) {
-        if (failure == ConnectFailure.REFUSED_OR_TIMED_OUT) avoid(endpoint)
+        if (failure == ConnectFailure.REFUSED_OR_TIMED_OUT) endpoint.failed(context.timeSource.markNow())
         log("connect_failed", "endpoint" to endpoint, "failure" to failure)
         connectsFailed++
         if (connectsFailed >= MOST_CONNECTS) return giveUp(AnswerReason.ENDPOINTS_FULL)
@@ -201,12 +203,6 @@
         return true
     }
 
-    private fun avoid(endpoint: Endpoint) {
-        endpoint.failuresInRow++
-        val pause = AvoidFor * (1 shl (endpoint.failuresInRow - 1).coerceAtMost(MOST_DOUBLINGS))
-        endpoint.avoidedUntil = context.timeSource.markNow() + pause
-    }
-
     private fun remaining(): Duration = deadline - context.timeSource.markNow()
 
     private fun timeOut() {
@@ -346,25 +342,19 @@
 
         /** Looks after the endpoint while it says nothing; a silent connection shows by nothing else. */
         private fun watchSilence() {
-            val limit = silenceLimit()
-            silenceTimer = schedule(maxOf(limit - lastSign().elapsedNow(), ShortestCheck)) {
+            val silence = SilencePolicy.silence(route, silenceOfEndpoint(), lastHeard.elapsedNow())
+            val wait = SilencePolicy.limit(route) - silence
+            silenceTimer = schedule(maxOf(wait, ShortestCheck)) {
                 if (isOver) return@schedule
-                when {
-                    lastSign().elapsedNow() < limit -> watchSilence()
-                    route.isStream && lastHeard.elapsedNow() < limit * PATIENT_LIMITS -> probe()
-                    else -> silent()
+                when (SilencePolicy.judge(route, silenceOfEndpoint(), lastHeard.elapsedNow())) {
+                    SilenceVerdict.WAIT -> watchSilence()
+                    SilenceVerdict.PROBE -> probe()
+                    SilenceVerdict.LEAVE -> silent()
                 }
             }
         }
 
-        /** A busy engine answers its requests one after the other; a plain service answers each by itself. */
-        private fun lastSign() = if (route.isStream) maxOf(lastHeard, endpoint.lastHeard ?: sentAt) else lastHeard
-
-        private fun silenceLimit(): Duration = if (route.isStream) {
-            maxOf(LeastStreamSilence, minOf(route.objective, route.longestPause) * STREAM_SILENCE_SHARE)
-        } else {
-            maxOf(LeastCallSilence, route.objective * CALL_SILENCE_OBJECTIVES)
-        }
+        private fun silenceOfEndpoint() = (endpoint.lastHeard ?: sentAt).elapsedNow()
 
         /** An endpoint that accepts connections is busy, most likely; one that does not is lost. */
         private fun probe() {
@@ -378,7 +368,7 @@
         private fun silent() {
             if (attemptsSent >= route.attemptLimit || remaining() <= LeastUsefulTime) return
             log("silent", "endpoint" to endpoint, "since" to lastHeard.elapsedNow())
-            avoid(endpoint)
+            endpoint.failed(context.timeSource.markNow())
             if (!context.retryAllowance.trySpend(service)) return
             connection.abandon()
             close()
@@ -414,17 +404,13 @@
 
         private fun refusedByEndpoint(decoded: ResponseHead) {
             runs.statedNotRun()
-            if (decoded.isMisdirected) endpoint.isGone = true else avoidFull()
+            if (decoded.isMisdirected) endpoint.isGone = true else endpoint.turnedAway(context.timeSource.markNow())
             log("not_run", "endpoint" to endpoint, "status" to decoded.status, "load" to decoded.load)
             connection.abandon()
             close()
             if (!repeat(RepeatReason.STATED_NOT_RUN, isNewRun = false)) giveUp(AnswerReason.ENDPOINTS_FULL)
         }
 
-        private fun avoidFull() {
-            endpoint.avoidedUntil = context.timeSource.markNow() + FullFor
-        }
-
         private fun beginStream(decoded: ResponseHead) {
             stopReadingPrompt()
             val larger = if (hasBegun || !head.leavesModelOpen) null else largerModel(decoded)
@@ -503,7 +489,7 @@
         }
 
         private fun endStream(decoded: ResponseHead) {
-            endpoint.failuresInRow = 0
+            endpoint.succeeded()
             observe(isSlow = arrivedAt.elapsedNow() > route.timeout)
             log("answered", "status" to decoded.status, "endpoint" to endpoint, "after" to arrivedAt.elapsedNow())
             context.metrics.countForwarded(decoded.status, arrivedAt.elapsedNow())
@@ -533,14 +519,14 @@
         }
 
         private fun observe(isSlow: Boolean) {
-            endpoint.failuresInRow = 0
+            endpoint.succeeded()
             context.observer.countAnswer(service, endpoint.description.version, isSlow)
         }
 
         private fun countFailure() {
             failedVersions += endpoint.description.version
             context.observer.countError(service, endpoint.description.version)
-            avoid(endpoint)
+            endpoint.failed(context.timeSource.markNow())
         }
 
         override fun onBroken(reason: String) {
@@ -551,7 +537,7 @@
         private fun broken(reason: String) {
             log("broken", "endpoint" to endpoint, "reason" to reason, "last_event" to lastEvent)
             connection.abandon()
-            avoid(endpoint)
+            endpoint.failed(context.timeSource.markNow())
             close()
             val repeatReason = if (hasBegun) RepeatReason.RESUMED else RepeatReason.BROKEN
             if (!repeat(repeatReason, isNewRun = true)) giveUp(AnswerReason.ATTEMPT_FAILED)
@@ -593,25 +579,9 @@
         /** An attempt with less time than this cannot be answered: a round trip and the shortest work. */
         val LeastUsefulTime = 30.milliseconds
 
-        /** An endpoint that failed is passed over for this long, doubled with each failure in a row. */
-        val AvoidFor = 500.milliseconds
-        const val MOST_DOUBLINGS = 3
-
-        /** Time in which a full endpoint ends a request or two. */
-        val FullFor = 150.milliseconds
-
-        /** Longer than the largest model reads the longest usual prompt. */
-        val LeastStreamSilence = 1_300.milliseconds
-        const val STREAM_SILENCE_SHARE = 0.7
-
-        /** Limits for which an endpoint is waited for that accepts connections but sends nothing. */
-        const val PATIENT_LIMITS = 3
+        /** Shortest pause between two looks at a silent endpoint. */
         val ShortestCheck = 50.milliseconds
 
-        /** Several times the usual answer of a plain service. */
-        val LeastCallSilence = 250.milliseconds
-        const val CALL_SILENCE_OBJECTIVES = 2
-
         /** Callers come back after this, spread over the second figure. */
         val ShortestReturn = 200.milliseconds
         val ReturnSpread = 600.milliseconds
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/LeastWorkPlacementTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/LeastWorkPlacementTest.kt
@@ -77,7 +77,7 @@
 
         @Test
         fun `an endpoint that failed is passed over, unless it is the only one`() {
-            endpoints[0].avoidedUntil = timeSource.markNow() + 1.seconds
+            endpoints[0].failed(timeSource.markNow())
             repeat(20) { assertNotEquals(endpoints[0], place(Work(), seed = it)) }
             assertEquals(endpoints[0], place(Work(), candidates = endpoints.take(1)))
         }
--- /dev/null
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/SilencePolicyTest.kt
@@ -0,0 +1,46 @@
+package io.quetzalfield.forwarding.choice
+
+import io.quetzalfield.forwarding.configuration.Repeatability
+import io.quetzalfield.forwarding.configuration.Route
+import io.quetzalfield.forwarding.configuration.WeightedService
+import io.quetzalfield.model.ServiceId
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+
+class SilencePolicyTest {
+    private fun route(isStream: Boolean) = Route(
+        name = "route",
+        host = "a.example",
+        prefix = "/",
+        repeatability = Repeatability.IDEMPOTENT,
+        services = listOf(WeightedService(ServiceId("service"), 1)),
+        isStream = isStream,
+        timeout = 15_000.milliseconds,
+        objective = if (isStream) 3_000.milliseconds else 100.milliseconds,
+        longestPause = 1_500.milliseconds,
+    )
+
+    @ParameterizedTest
+    @CsvSource(
+        "true, 100, 100, WAIT",
+        "true, 1200, 9000, WAIT",
+        "true, 9000, 1200, WAIT",
+        "true, 1400, 1400, PROBE",
+        "true, 1400, 3800, PROBE",
+        "true, 1400, 4000, LEAVE",
+        "false, 100, 100, WAIT",
+        "false, 0, 260, LEAVE",
+        "false, 9000, 240, WAIT",
+    )
+    fun `silence is judged by the endpoint and by the attempt`(
+        isStream: Boolean,
+        ofEndpoint: Int,
+        ofAttempt: Int,
+        expected: SilenceVerdict,
+    ) {
+        val verdict = SilencePolicy.judge(route(isStream), ofEndpoint.milliseconds, ofAttempt.milliseconds)
+        assertEquals(expected, verdict)
+    }
+}
--- /dev/null
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointTest.kt
@@ -0,0 +1,46 @@
+package io.quetzalfield.forwarding.endpoints
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+class EndpointTest {
+    private val timeSource = TestTimeSource()
+    private val endpoint = Endpoint(description("one"))
+
+    private fun pauseAfterFailure(): Long {
+        val now = timeSource.markNow()
+        endpoint.failed(now)
+        return (checkNotNull(endpoint.avoidedUntil) - now).inWholeMilliseconds
+    }
+
+    @Test
+    fun `pauses double with each failure in a row, up to a bound`() {
+        assertEquals(listOf(500L, 1_000L, 2_000L, 4_000L, 4_000L), List(5) { pauseAfterFailure() })
+    }
+
+    @Test
+    fun `an answer ends the row`() {
+        repeat(3) { pauseAfterFailure() }
+        endpoint.succeeded()
+        assertEquals(500L, pauseAfterFailure())
+    }
+
+    @Test
+    fun `a full endpoint is passed over briefly`() {
+        val now = timeSource.markNow()
+        endpoint.turnedAway(now)
+        timeSource += 1.seconds
+        assertEquals(150.milliseconds, checkNotNull(endpoint.avoidedUntil) - now)
+    }
+
+    @Test
+    fun `a new start forgets failures and memory`() {
+        pauseAfterFailure()
+        endpoint.startAnew()
+        assertNull(endpoint.avoidedUntil)
+    }
+}
