--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/BillHistoryTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/BillHistoryTest.kt
@@ -21,6 +21,11 @@
 import io.quetzalfield.model.RequestKey
 import io.quetzalfield.peer.wire.BillRecord
 import io.quetzalfield.peer.wire.WitnessReply.Verdict
+import io.quetzalfield.steward.bills.BillFolding
+import io.quetzalfield.steward.bills.BillWitnesses
+import io.quetzalfield.steward.bills.CollectedBill
+import io.quetzalfield.steward.bills.WitnessError
+import io.quetzalfield.steward.bills.WitnessedSender
 import io.quetzalfield.store.bills.ACCOUNT_BILL_PREFIX
 import io.quetzalfield.store.bills.AccountBill
 import io.quetzalfield.store.bills.BILL_CELL_PREFIX
@@ -28,11 +33,6 @@
 import io.quetzalfield.store.bills.BillTotals
 import io.quetzalfield.store.bills.CellState
 import io.quetzalfield.store.fakes.InMemoryKeyValueStore
-import io.quetzalfield.steward.bills.BillFolding
-import io.quetzalfield.steward.bills.BillWitnesses
-import io.quetzalfield.steward.bills.CollectedBill
-import io.quetzalfield.steward.bills.WitnessError
-import io.quetzalfield.steward.bills.WitnessedSender
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/CrashingRequestTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/CrashingRequestTest.kt
@@ -1,8 +1,8 @@
 package io.quetzalfield.distribution
 
+import io.quetzalfield.standins.CallerClient
 import io.quetzalfield.store.engine.ChatCompletionRequest
 import io.quetzalfield.store.engine.ChatMessage
-import io.quetzalfield.standins.CallerClient
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
 import okhttp3.Request
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/FaultFleet.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/FaultFleet.kt
@@ -24,14 +24,14 @@
 import io.quetzalfield.operator.ListsStore
 import io.quetzalfield.operator.StoredLists
 import io.quetzalfield.operator.load
-import io.quetzalfield.store.fakes.InMemoryInstanceDirectory
-import io.quetzalfield.store.fakes.InMemoryKeyValueStore
-import io.quetzalfield.store.fakes.PlatformLink
 import io.quetzalfield.standins.CallerClient
 import io.quetzalfield.standins.RunnerStandIn
 import io.quetzalfield.standins.ServiceStandIn
 import io.quetzalfield.steward.StewardProgram
 import io.quetzalfield.steward.StewardSettings
+import io.quetzalfield.store.fakes.InMemoryInstanceDirectory
+import io.quetzalfield.store.fakes.InMemoryKeyValueStore
+import io.quetzalfield.store.fakes.PlatformLink
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicLong
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/MixedHistoriesTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/MixedHistoriesTest.kt
@@ -24,14 +24,14 @@
 import io.quetzalfield.model.RequestKey
 import io.quetzalfield.peer.wire.BillRecord
 import io.quetzalfield.peer.wire.WitnessReply.Verdict
-import io.quetzalfield.store.DutyLease
-import io.quetzalfield.store.bills.BillTotals
-import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import io.quetzalfield.steward.bills.BillFolding
 import io.quetzalfield.steward.bills.BillWitnesses
 import io.quetzalfield.steward.bills.CollectedBill
 import io.quetzalfield.steward.bills.WitnessError
 import io.quetzalfield.steward.bills.WitnessedSender
+import io.quetzalfield.store.DutyLease
+import io.quetzalfield.store.bills.BillTotals
+import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import net.jqwik.api.Arbitraries
 import net.jqwik.api.Arbitrary
 import net.jqwik.api.ForAll
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/ProcessFaultsTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/ProcessFaultsTest.kt
@@ -15,6 +15,8 @@
 import io.quetzalfield.model.ModelVersionReference
 import io.quetzalfield.model.RequestKey
 import io.quetzalfield.operator.ListsStore
+import io.quetzalfield.standins.CallerClient
+import io.quetzalfield.standins.SeenRequest
 import io.quetzalfield.store.DUTY_PREFIX
 import io.quetzalfield.store.DutyRecord
 import io.quetzalfield.store.HttpInstanceDirectory
@@ -22,8 +24,6 @@
 import io.quetzalfield.store.bills.BILL_CELL_PREFIX
 import io.quetzalfield.store.bills.BillCell
 import io.quetzalfield.store.bills.CellState
-import io.quetzalfield.standins.CallerClient
-import io.quetzalfield.standins.SeenRequest
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.DynamicTest
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/RecordedCaller.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/RecordedCaller.kt
@@ -11,9 +11,6 @@
 import io.quetzalfield.model.RequestId
 import io.quetzalfield.model.RequestKey
 import io.quetzalfield.model.SessionId
-import io.quetzalfield.store.PlatformJson
-import io.quetzalfield.store.engine.ChatCompletionRequest
-import io.quetzalfield.store.engine.ChatMessage
 import io.quetzalfield.standins.CallerAnswer
 import io.quetzalfield.standins.CallerClient
 import io.quetzalfield.standins.CallerReply
@@ -22,6 +19,9 @@
 import io.quetzalfield.standins.ServiceRun
 import io.quetzalfield.standins.answerWords
 import io.quetzalfield.standins.readFailureStatement
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.engine.ChatCompletionRequest
+import io.quetzalfield.store.engine.ChatMessage
 import kotlinx.serialization.SerializationException
 import java.io.IOException
 import java.net.ConnectException
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/SmallFleet.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/SmallFleet.kt
@@ -1,8 +1,8 @@
 package io.quetzalfield.distribution
 
+import io.quetzalfield.standins.CallerClient
 import io.quetzalfield.store.EtcdGatewayKeyValueStore
 import io.quetzalfield.store.HttpInstanceDirectory
-import io.quetzalfield.standins.CallerClient
 import java.nio.file.Files
 import java.nio.file.Path
 
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/WholePathTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/WholePathTest.kt
@@ -1,9 +1,9 @@
 package io.quetzalfield.distribution
 
-import io.quetzalfield.store.engine.ChatCompletionRequest
-import io.quetzalfield.store.engine.ChatMessage
 import io.quetzalfield.standins.CallerClient
 import io.quetzalfield.standins.answerWords
+import io.quetzalfield.store.engine.ChatCompletionRequest
+import io.quetzalfield.store.engine.ChatMessage
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.jsonObject
 import org.junit.jupiter.api.AfterAll
--- a/entry/src/test/kotlin/io/quetzalfield/entry/EmbeddedFleet.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/EmbeddedFleet.kt
@@ -30,6 +30,9 @@
 import io.quetzalfield.model.SessionId
 import io.quetzalfield.model.VersionId
 import io.quetzalfield.peer.PeerClients
+import io.quetzalfield.standins.RunnerFaults
+import io.quetzalfield.standins.RunnerStandIn
+import io.quetzalfield.standins.answerWords
 import io.quetzalfield.store.AnswerToRate
 import io.quetzalfield.store.PlatformJson
 import io.quetzalfield.store.engine.ChatCompletionRequest
@@ -38,9 +41,6 @@
 import io.quetzalfield.store.fakes.InMemoryInstanceDirectory
 import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import io.quetzalfield.store.fakes.InMemoryRatingService
-import io.quetzalfield.standins.RunnerFaults
-import io.quetzalfield.standins.RunnerStandIn
-import io.quetzalfield.standins.answerWords
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import java.io.IOException
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/DecisionLog.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/DecisionLog.kt
@@ -5,7 +5,7 @@
 
 /**
  * Structured log lines of `key="value"` pairs, one for each decision that touches a request or changes what this
- * process believes. The appender is bounded and drops lines rather than wait; the metrics count what was dropped.
+ * process believes. The appender is bounded and drops lines rather than wait.
  */
 public object DecisionLog {
     private val logger = LogManager.getLogger("io.quetzalfield.decisions")
--- a/measurements/src/main/kotlin/io/quetzalfield/measurements/MeasuredFleet.kt
+++ b/measurements/src/main/kotlin/io/quetzalfield/measurements/MeasuredFleet.kt
@@ -21,13 +21,13 @@
 import io.quetzalfield.model.PlanPermission
 import io.quetzalfield.model.SigningKey
 import io.quetzalfield.model.VersionId
+import io.quetzalfield.standins.RunnerStandIn
 import io.quetzalfield.store.LISTS_KEY
 import io.quetzalfield.store.PlatformJson
 import io.quetzalfield.store.StoreRevision
 import io.quetzalfield.store.fakes.InMemoryInstanceDirectory
 import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import io.quetzalfield.store.fakes.InMemoryRatingService
-import io.quetzalfield.standins.RunnerStandIn
 import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.milliseconds
 
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -9,12 +9,6 @@
 import io.quetzalfield.model.ListedInstance
 import io.quetzalfield.peer.PeerClients
 import io.quetzalfield.peer.PeerServer
-import io.quetzalfield.store.DutyLease
-import io.quetzalfield.store.DutyRoster
-import io.quetzalfield.store.EtcdGatewayKeyValueStore
-import io.quetzalfield.store.HttpInstanceDirectory
-import io.quetzalfield.store.InstanceDirectory
-import io.quetzalfield.store.KeyValueStore
 import io.quetzalfield.steward.allowances.AllowanceDuty
 import io.quetzalfield.steward.bills.BillDuty
 import io.quetzalfield.steward.bills.BillFolding
@@ -25,6 +19,12 @@
 import io.quetzalfield.steward.orders.OrderDuty
 import io.quetzalfield.steward.rollouts.PeerRolloutEntries
 import io.quetzalfield.steward.rollouts.RolloutDuty
+import io.quetzalfield.store.DutyLease
+import io.quetzalfield.store.DutyRoster
+import io.quetzalfield.store.EtcdGatewayKeyValueStore
+import io.quetzalfield.store.HttpInstanceDirectory
+import io.quetzalfield.store.InstanceDirectory
+import io.quetzalfield.store.KeyValueStore
 import io.quetzalfield.support.HostPort
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
