--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -48,9 +48,13 @@
     private var model: ModelId? = null
     private var isFinished = false
 
-    /** What the caller has of a stream. */
+    /** Whether the caller has any of a stream. */
     private var hasBegun = false
+
+    /** The last event that the caller has. */
     private var lastEvent: Long? = head.lastEvent
+
+    /** The version that a stream has begun with; it goes on with no other. */
     private var streamVersion: VersionId? = null
 
     /** Versions whose endpoints failed the request; others go first when it is repeated. */
@@ -79,7 +83,7 @@
 
     /** The caller's connection takes more bytes again. */
     public fun resumeReading() {
-        attempt?.setReading(true)
+        attempt?.setAutoRead(true)
     }
 
     private fun admit(configuration: RoutingConfiguration) {
@@ -169,16 +173,16 @@
 
     private fun connected(endpoint: Endpoint, connection: EndpointConnection) {
         val refusal = when {
-            isFinished -> return connection.giveBack()
+            isFinished -> return connection.abandon()
             !context.isConfigurationCurrent -> AnswerReason.CONFIGURATION_UNCONFIRMED
             else -> null
         }
         if (refusal != null) {
-            connection.giveBack()
+            connection.abandon()
             return giveUp(refusal)
         }
         if (!endpoint.isUsable()) {
-            connection.giveBack()
+            connection.abandon()
             return send()
         }
         attemptsSent++
@@ -188,8 +192,6 @@
 
     private fun Endpoint.isUsable() = isEligible || context.endpoints.eligible(service).isEmpty()
 
-    private fun EndpointConnection.giveBack() = abandon()
-
     /** Sends the request once more if the route and the budget allow it; says whether it does. */
     private fun repeat(reason: RepeatReason, isNewRun: Boolean): Boolean {
         val isAllowed = attemptsSent < route.attemptLimit &&
@@ -275,7 +277,7 @@
     ) : ResponseListener {
         private val sentAt = context.timeSource.markNow()
         private val unreadTokens = askedModel?.let { endpoint.cachedParts.unreadTokens(it, head.prompt) } ?: 0
-        private var isReading = true
+        private var isPromptUnread = true
         private var isOver = false
         private var response: HttpResponse? = null
         private var responseHead: ResponseHead? = null
@@ -311,8 +313,9 @@
             if (route.isRepeatable) watchSilence()
         }
 
-        fun setReading(isReading: Boolean) {
-            connection.channel.config().isAutoRead = isReading
+        /** Stops or resumes taking the answer's bytes, as fast as the caller takes them. */
+        fun setAutoRead(isAutoRead: Boolean) {
+            connection.channel.config().isAutoRead = isAutoRead
         }
 
         fun abandon(reason: String) {
@@ -326,7 +329,7 @@
             isOver = true
             silenceTimer?.cancel(false)
             endpoint.inFlight--
-            stopReadingPrompt()
+            promptIsRead()
             wholeBody?.release()
             wholeBody = null
             splitter?.close()
@@ -334,9 +337,9 @@
             if (attempt === this) attempt = null
         }
 
-        private fun stopReadingPrompt() {
-            if (!isReading) return
-            isReading = false
+        private fun promptIsRead() {
+            if (!isPromptUnread) return
+            isPromptUnread = false
             endpoint.unreadTokens -= unreadTokens
         }
 
@@ -365,6 +368,7 @@
             }
         }
 
+        /** Moves the request to another endpoint, if it may be sent once more. */
         private fun silent() {
             if (attemptsSent >= route.attemptLimit || remaining() <= LeastUsefulTime) return
             log("silent", "endpoint" to endpoint, "since" to lastHeard.elapsedNow())
@@ -412,7 +416,7 @@
         }
 
         private fun beginStream(decoded: ResponseHead) {
-            stopReadingPrompt()
+            promptIsRead()
             val larger = if (hasBegun || !head.leavesModelOpen) null else largerModel(decoded)
             if (larger != null && askLarger(larger)) return
             splitter = EventSplitter()
@@ -467,7 +471,7 @@
             if (!hasBegun) beginReply()
             if (event.number != null) lastEvent = event.number
             reply.sendStreamPart(event.bytes)
-            if (!reply.isWritable) setReading(false)
+            if (!reply.isWritable) setAutoRead(false)
         }
 
         private fun beginReply() {
