--- a/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/EntryProgram.kt
@@ -6,6 +6,7 @@
 import io.quetzalfield.decision.CascadeSettings
 import io.quetzalfield.decision.LearningRouting
 import io.quetzalfield.decision.storeWritePeriod
+import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
@@ -18,7 +19,6 @@
 import io.quetzalfield.store.InstanceDirectory
 import io.quetzalfield.store.KeyValueStore
 import io.quetzalfield.store.RatingService
-import io.quetzalfield.support.HostPort
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
 import io.quetzalfield.support.startHttpServer
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -23,6 +23,7 @@
 import io.quetzalfield.forwarding.http.HttpListeners
 import io.quetzalfield.forwarding.http.PlainAnswer
 import io.quetzalfield.forwarding.http.RoutingContext
+import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceId
 import io.quetzalfield.store.DutyLease
@@ -53,7 +54,6 @@
     private val record = MemberRecord(incarnation, settings.callerAddress.toString(), settings.failureDomain)
     private val members = Members(record)
     private val metrics = RouterMetrics()
-    private val versions = VersionSplit(timeSource)
     private val context = RoutingContext(
         eventLoop = eventLoop,
         configuration = ConfigurationHolder(timeSource),
@@ -62,7 +62,7 @@
         metrics = metrics,
         retryAllowance = RetryAllowance(settings.retryBounds, timeSource) { members.count },
         connections = EndpointConnections(eventLoop, timeSource, metrics::countConnection),
-        versions = versions,
+        versions = VersionSplit(timeSource),
         timeSource = timeSource,
         confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
         memberCount = { members.count },
@@ -88,7 +88,7 @@
         val listeners = HttpListeners(group)
         listeners.listenForQuestions(settings.readinessAddress, ::answerReadiness)
         settings.directoryAddress?.let { listeners.listenForQuestions(it, ::answerDirectory) }
-        listeners.listenForQuestions(ListenAddress(settings.callerAddress.host, settings.metricsPort), ::answerMetrics)
+        listeners.listenForQuestions(HostPort(settings.callerAddress.host, settings.metricsPort), ::answerMetrics)
         callerListener = listeners.listenForCallers(settings.callerAddress, context, callers)
         platform.start(PlatformFeed(context) { orders = it })
         platform.store.follow(
@@ -104,10 +104,7 @@
     /** Leaves the directory, lets what runs end, and returns when this instance may end. */
     override fun close() {
         DecisionLog.write("stop", "incarnation" to incarnation, "grace" to settings.shutdownGrace)
-        eventLoop.execute {
-            members.isOwnTaking = false
-            isStopping = true
-        }
+        eventLoop.execute { isStopping = true }
         scheduler.execute {
             membership.leave()
             duty.release()
@@ -149,9 +146,8 @@
     }
 
     private fun answerDirectory(uri: String): PlainAnswer? {
-        platform.directory.decodeQuestion(uri) ?: return null
-        members.isOwnTaking = isReady
-        val addresses = members.addresses()
+        if (!platform.directory.isAddressQuestion(uri)) return null
+        val addresses = members.addresses(includesOwn = isReady)
         if (addresses.isEmpty()) return PlainAnswer(STATUS_UNAVAILABLE)
         return PlainAnswer(STATUS_OK, JSON, platform.directory.encodeAnswer(addresses, settings.addressValidity))
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterSettings.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterSettings.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.forwarding
 
 import io.quetzalfield.forwarding.choice.RetryBounds
+import io.quetzalfield.model.HostPort
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -20,9 +21,9 @@
 public data class RouterSettings(
     val instance: String,
     val failureDomain: String,
-    val callerAddress: ListenAddress,
-    val readinessAddress: ListenAddress,
-    val directoryAddress: ListenAddress?,
+    val callerAddress: HostPort,
+    val readinessAddress: HostPort,
+    val directoryAddress: HostPort?,
     val metricsPort: Int,
     val revocationBound: Duration?,
     val shutdownGrace: Duration = DefaultShutdownGrace,
@@ -37,8 +38,3 @@
         val DefaultAddressValidity = 1_000.milliseconds
     }
 }
-
-/** A numeric address to listen at. */
-public data class ListenAddress(val host: String, val port: Int) {
-    override fun toString(): String = "$host:$port"
-}
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/VersionSplit.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/VersionSplit.kt
@@ -51,9 +51,6 @@
     /** The target and revision of the operator's order for [service]. */
     public fun orderOf(service: ServiceId): Pair<VersionId, Long>? = orders[service]
 
-    /** All services for which an order stands. */
-    public val orderedServices: Set<ServiceId> get() = orders.keys
-
     /** Takes an order of the operator: until its first step the target gets nothing. */
     public fun takeOrder(service: ServiceId, target: VersionId, revision: Long) {
         orders[service] = target to revision
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -1,5 +1,6 @@
 package io.quetzalfield.forwarding.endpoints
 
+import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.ModelId
 import io.quetzalfield.model.ServiceId
 import io.quetzalfield.model.VersionId
@@ -13,11 +14,6 @@
     override fun toString(): String = value
 }
 
-/** The numeric address of an endpoint. */
-public data class EndpointAddress(val host: String, val port: Int) {
-    override fun toString(): String = "$host:$port"
-}
-
 /**
  * What an endpoint says of itself in the store.
  *
@@ -28,7 +24,7 @@
 public data class EndpointDescription(
     val id: EndpointId,
     val service: ServiceId,
-    val address: EndpointAddress,
+    val address: HostPort,
     val failureDomain: String,
     val version: VersionId,
     val capacity: Int,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
@@ -1,12 +1,11 @@
 package io.quetzalfield.forwarding.fleet
 
 import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.forwarding.decodeOrLog
 import io.quetzalfield.forwarding.http.RoutingContext
-import io.quetzalfield.store.PlatformJson
 import io.quetzalfield.store.StoreChange
 import io.quetzalfield.store.StoreFollower
 import io.quetzalfield.store.StoredValue
-import kotlinx.serialization.SerializationException
 
 /**
  * Takes the fleet's keys in the store into the state of the event loop.
@@ -37,12 +36,7 @@
     override fun onLost(reason: String) = DecisionLog.write("store_lost", "part" to "fleet", "reason" to reason)
 
     private fun takeStep(value: StoredValue) {
-        val record = try {
-            PlatformJson.decodeFromString(RolloutRecord.serializer(), value.value)
-        } catch (error: SerializationException) {
-            DecisionLog.write("record_unreadable", "key" to value.key, "reason" to error.message)
-            return
-        }
+        val record = value.decodeOrLog(RolloutRecord.serializer(), "record_unreadable") ?: return
         if (record.isReported) onReported(record.step.orderRevision)
         eventLoop.execute {
             if (context.versions.takeStep(record.step)) {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Membership.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Membership.kt
@@ -18,15 +18,9 @@
  * What an instance tells the others of itself.
  *
  * @property address where it takes callers' requests.
- * @property isTaking whether callers should be sent to it.
  */
 @Serializable
-public data class MemberRecord(
-    val incarnation: Incarnation,
-    val address: String,
-    val failureDomain: String,
-    val isTaking: Boolean = true,
-)
+public data class MemberRecord(val incarnation: Incarnation, val address: String, val failureDomain: String)
 
 /** Keeps this instance's record in the store under a lease, until it leaves. */
 public class Membership(
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
@@ -8,16 +8,15 @@
 import io.quetzalfield.forwarding.choice.RolloutSchedule
 import io.quetzalfield.forwarding.choice.RolloutStep
 import io.quetzalfield.forwarding.choice.ScheduledStep
+import io.quetzalfield.forwarding.decodeOrLog
 import io.quetzalfield.model.ServiceId
 import io.quetzalfield.model.VersionId
 import io.quetzalfield.store.DutyLease
 import io.quetzalfield.store.KeyValueStore
 import io.quetzalfield.store.PlatformJson
 import io.quetzalfield.store.StoreRevision
-import io.quetzalfield.store.StoredValue
 import io.quetzalfield.store.SwapResult
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlin.time.Clock
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
@@ -84,7 +83,8 @@
     private fun advance(order: RolloutOrder) {
         val key = FleetKeys.step(order.service)
         val stored = store.read(key).getOrElse { return }
-        val standing = stored?.let(::decode)?.takeIf { it.step.orderRevision == order.revision.value }
+        val record = stored?.decodeOrLog(RolloutRecord.serializer(), UNREADABLE)
+        val standing = record?.takeIf { it.step.orderRevision == order.revision.value }
         val revision = stored?.modified ?: StoreRevision.Absent
         when {
             standing == null -> begin(order, key, revision)
@@ -139,9 +139,7 @@
 
     private fun observationsOf(service: ServiceId): Map<VersionId, RolloutObservations>? {
         val values = store.list("${FleetKeys.OBSERVATIONS}${service.value}/").getOrElse { return null }
-        val records = values.mapNotNull { value ->
-            decodeOrNull(value) { PlatformJson.decodeFromString(ObservationRecord.serializer(), it) }
-        }
+        val records = values.mapNotNull { it.decodeOrLog(ObservationRecord.serializer(), UNREADABLE) }
         return records.flatMap { it.answers.entries }.groupBy({ it.key }, { it.value }).mapValues { (_, counts) ->
             RolloutObservations(
                 answers = counts.sumOf { it.answers },
@@ -158,17 +156,9 @@
         return ((result as? Either.Right)?.value as? SwapResult.Swapped)?.stored
     }
 
-    private fun decode(value: StoredValue): RolloutRecord? =
-        decodeOrNull(value) { PlatformJson.decodeFromString(RolloutRecord.serializer(), it) }
-
-    private fun <T> decodeOrNull(value: StoredValue, decode: (String) -> T): T? = try {
-        decode(value.value)
-    } catch (error: SerializationException) {
-        DecisionLog.write("record_unreadable", "key" to value.key, "reason" to error.message)
-        null
-    }
-
     private companion object {
+        const val UNREADABLE = "record_unreadable"
+
         /** Bounds what a step of the time of day adds to the age of a roll-out. */
         val LongestTakeover = 10_000.milliseconds
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Dialect.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Dialect.kt
@@ -31,9 +31,6 @@
     val model: ModelId?,
     val leavesModelOpen: Boolean,
     val prompt: List<PromptPart>,
-    val promptTokens: Int,
-    val outputTokens: Int,
-    val expectedOutputTokens: Int?,
     val session: SessionId?,
     val lastEvent: Long?,
 )
@@ -85,13 +82,10 @@
     public fun decodeResponse(response: HttpResponse): ResponseHead
 }
 
-/** A question which addresses to use. */
-public data class AddressQuestion(val name: String?, val failureDomain: String?)
-
 /** The interface by which callers ask for addresses and the platform for readiness. */
 public interface DirectoryDialect {
-    /** The question that [uri] asks; `null` when it is no such question. */
-    public fun decodeQuestion(uri: String): AddressQuestion?
+    /** Whether [uri] asks which addresses to use. */
+    public fun isAddressQuestion(uri: String): Boolean
 
     /** The body of an answer with [addresses], which a caller may keep for [validity]. */
     public fun encodeAnswer(addresses: List<String>, validity: Duration): ByteArray
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -20,7 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.AsciiString
 import io.netty.util.ReferenceCountUtil
-import io.quetzalfield.forwarding.endpoints.EndpointAddress
+import io.quetzalfield.model.HostPort
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -43,7 +43,7 @@
 
 /** A connection to an endpoint, which carries one request at a time. Used on the event loop only. */
 public class EndpointConnection(
-    public val address: EndpointAddress,
+    public val address: HostPort,
     private val timeSource: TimeSource.WithComparableMarks,
     private val onClosed: (EndpointConnection) -> Unit,
     private val onIdle: (EndpointConnection) -> Unit,
@@ -56,7 +56,7 @@
     private var isKept = true
     private var requestMethod: HttpMethod = HttpMethod.GET
 
-    /** The channel, once connected. */
+    /** The channel, from the start of connecting. */
     public lateinit var channel: Channel
         private set
 
@@ -68,9 +68,6 @@
     public var keepAlive: Duration = DefaultKeepAlive
         private set
 
-    /** Whether it carries a request. */
-    public val isBusy: Boolean get() = listener != null
-
     internal val initializer = object : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             channel.pipeline().addLast(MethodAwareDecoder(), HttpRequestEncoder(), this@EndpointConnection)
@@ -94,11 +91,6 @@
         channel.close()
     }
 
-    override fun channelActive(context: ChannelHandlerContext) {
-        channel = context.channel()
-        context.fireChannelActive()
-    }
-
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
@@ -6,7 +6,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.quetzalfield.forwarding.endpoints.EndpointAddress
+import io.quetzalfield.model.HostPort
 import jdk.net.ExtendedSocketOptions
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -26,7 +26,7 @@
         var open = 0
     }
 
-    private val pools = HashMap<EndpointAddress, Pool>()
+    private val pools = HashMap<HostPort, Pool>()
 
     /**
      * Hands [onReady] a connection to [address], the most recently used idle one or a new one.
@@ -35,7 +35,7 @@
      * @param longestIdle part of the endpoint's idle timeout up to which a kept connection is used.
      */
     public fun acquire(
-        address: EndpointAddress,
+        address: HostPort,
         limit: Int,
         longestIdle: Double,
         onFailure: (ConnectFailure) -> Unit,
@@ -51,7 +51,7 @@
     }
 
     /** Tells [onResult] whether [address] accepts a connection, which is then kept for later requests. */
-    public fun probe(address: EndpointAddress, onResult: (Boolean) -> Unit) {
+    public fun probe(address: HostPort, onResult: (Boolean) -> Unit) {
         val pool = pools.getOrPut(address, ::Pool)
         open(address, pool, onFailure = { onResult(false) }) { connection ->
             pool.idle.addLast(connection)
@@ -59,11 +59,6 @@
         }
     }
 
-    /** Closes idle connections to [address]. */
-    public fun closeIdle(address: EndpointAddress) {
-        pools[address]?.idle?.toList()?.forEach(EndpointConnection::abandon)
-    }
-
     private fun Pool.takeIdle(longestIdle: Double): EndpointConnection? {
         val now = timeSource.markNow()
         while (idle.isNotEmpty()) {
@@ -76,7 +71,7 @@
     }
 
     private fun open(
-        address: EndpointAddress,
+        address: HostPort,
         pool: Pool,
         onFailure: (ConnectFailure) -> Unit,
         onReady: (EndpointConnection) -> Unit,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -194,9 +194,8 @@
 
     /** Sends the request once more if the route and the budget allow it; says whether it does. */
     private fun repeat(reason: RepeatReason, isNewRun: Boolean): Boolean {
-        val isAllowed = attemptsSent < route.attemptLimit &&
+        val isAllowed = hasAttemptLeft() &&
             (!isNewRun || !runs.mayHaveRun || route.isRepeatable) &&
-            remaining() > LeastUsefulTime &&
             context.retryAllowance.trySpend(service)
         if (!isAllowed) return false
         context.metrics.countRepeat(reason)
@@ -205,6 +204,9 @@
         return true
     }
 
+    /** Whether the route and the time left allow one more send. */
+    private fun hasAttemptLeft() = attemptsSent < route.attemptLimit && remaining() > LeastUsefulTime
+
     private fun remaining(): Duration = deadline - context.timeSource.markNow()
 
     private fun timeOut() {
@@ -370,7 +372,7 @@
 
         /** Moves the request to another endpoint, if it may be sent once more. */
         private fun silent() {
-            if (attemptsSent >= route.attemptLimit || remaining() <= LeastUsefulTime) return
+            if (!hasAttemptLeft()) return
             log("silent", "endpoint" to endpoint, "since" to lastHeard.elapsedNow())
             endpoint.failed(context.timeSource.markNow())
             if (!context.retryAllowance.trySpend(service)) return
@@ -493,10 +495,8 @@
         }
 
         private fun endStream(decoded: ResponseHead) {
-            endpoint.succeeded()
             observe(isSlow = arrivedAt.elapsedNow() > route.timeout)
-            log("answered", "status" to decoded.status, "endpoint" to endpoint, "after" to arrivedAt.elapsedNow())
-            context.metrics.countForwarded(decoded.status, arrivedAt.elapsedNow())
+            countAnswered(decoded)
             close()
             reply.endStream()
             finish()
@@ -512,8 +512,7 @@
                 body.release()
                 return
             }
-            log("answered", "status" to decoded.status, "endpoint" to endpoint, "after" to arrivedAt.elapsedNow())
-            context.metrics.countForwarded(decoded.status, arrivedAt.elapsedNow())
+            countAnswered(decoded)
             if (hasBegun) {
                 body.release()
                 return giveUp(AnswerReason.ATTEMPT_FAILED)
@@ -522,6 +521,12 @@
             finish()
         }
 
+        private fun countAnswered(decoded: ResponseHead) {
+            val after = arrivedAt.elapsedNow()
+            log("answered", "status" to decoded.status, "endpoint" to endpoint, "after" to after)
+            context.metrics.countForwarded(decoded.status, after)
+        }
+
         private fun observe(isSlow: Boolean) {
             endpoint.succeeded()
             context.observer.countAnswer(service, endpoint.description.version, isSlow)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/HttpListeners.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/HttpListeners.kt
@@ -25,7 +25,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.timeout.IdleStateHandler
-import io.quetzalfield.forwarding.ListenAddress
+import io.quetzalfield.model.HostPort
 import java.util.concurrent.TimeUnit
 
 private const val BACKLOG = 1_024
@@ -42,23 +42,20 @@
 /** Opens the addresses at which this process is called. */
 public class HttpListeners(private val group: EventLoopGroup) {
     /** Takes callers' requests at [address]. */
-    public fun listenForCallers(
-        address: ListenAddress,
-        context: RoutingContext,
-        connections: CallerConnections,
-    ): Channel = listen(address) { channel ->
-        val connection = CallerConnection(context, connections)
-        val headerBytes = (context.configuration.current?.limits?.headerBytes ?: DEFAULT_HEADER_BYTES)
-        channel.pipeline().addLast(
-            ArrivalNotice(connection),
-            StrictRequestDecoder(headerBytes),
-            HttpResponseEncoder(),
-            connection,
-        )
-    }
+    public fun listenForCallers(address: HostPort, context: RoutingContext, connections: CallerConnections): Channel =
+        listen(address) { channel ->
+            val connection = CallerConnection(context, connections)
+            val headerBytes = (context.configuration.current?.limits?.headerBytes ?: DEFAULT_HEADER_BYTES)
+            channel.pipeline().addLast(
+                ArrivalNotice(connection),
+                StrictRequestDecoder(headerBytes),
+                HttpResponseEncoder(),
+                connection,
+            )
+        }
 
     /** Answers short questions at [address] by their path and query; `null` stands for an unknown path. */
-    public fun listenForQuestions(address: ListenAddress, answer: (String) -> PlainAnswer?): Channel =
+    public fun listenForQuestions(address: HostPort, answer: (String) -> PlainAnswer?): Channel =
         listen(address) { channel ->
             channel.pipeline().addLast(
                 IdleStateHandler(0, 0, QUESTION_IDLE_SECONDS, TimeUnit.SECONDS),
@@ -69,7 +66,7 @@
             )
         }
 
-    private fun listen(address: ListenAddress, initialize: (SocketChannel) -> Unit): Channel = ServerBootstrap()
+    private fun listen(address: HostPort, initialize: (SocketChannel) -> Unit): Channel = ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel::class.java)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectoryTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectoryTest.kt
@@ -1,5 +1,6 @@
 package io.quetzalfield.forwarding.endpoints
 
+import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.ServiceId
 import io.quetzalfield.model.VersionId
 import org.junit.jupiter.api.Nested
@@ -19,7 +20,7 @@
 ) = EndpointDescription(
     id = EndpointId(id),
     service = Service,
-    address = EndpointAddress("127.0.0.1", port),
+    address = HostPort("127.0.0.1", port),
     failureDomain = "a",
     version = VersionId(version),
     capacity = 4,
--- a/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
+++ b/steward/src/main/kotlin/io/quetzalfield/steward/StewardProgram.kt
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.decision.HomeScope
 import io.quetzalfield.decision.homeOrder
+import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceKind
 import io.quetzalfield.model.ListedInstance
@@ -25,7 +26,6 @@
 import io.quetzalfield.store.HttpInstanceDirectory
 import io.quetzalfield.store.InstanceDirectory
 import io.quetzalfield.store.KeyValueStore
-import io.quetzalfield.support.HostPort
 import io.quetzalfield.support.every
 import io.quetzalfield.support.newScheduler
 import io.quetzalfield.support.startHttpServer
