Refuse requests that crash endpoints, at every instance

Cause: CrashQuarantine was not wired into the router, so a request that crashes each endpoint which begins to run it was sent on without bound, by every instance anew.

Change: a connection lost before the answer's head makes the request a suspect (method, path, account, body). Suspects are shared by a record each in the store; a second endpoint lost quarantines it everywhere. Reports name the runner, so that crashes at two entries within five seconds count as two, which before were taken for one (CrashQuarantineTest, failed first). The entry of the project's own platform is unchanged but for that.

Records under the membership's lease have one writer, LeasedRecords, which also writes anew after the lease has lapsed.

--- a/decision/src/main/kotlin/io/quetzalfield/decision/CrashQuarantine.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CrashQuarantine.kt
@@ -39,8 +39,14 @@
  *
  * @property crashes 0 when it was cleared, 1 for a suspect that the sender handles, 2 for a quarantined one.
  * @property age time since the last crash.
+ * @property runner the runner that crashed last, as far as it is told.
  */
-public data class FingerprintReport(val fingerprint: RequestFingerprint, val crashes: Int, val age: Duration)
+public data class FingerprintReport(
+    val fingerprint: RequestFingerprint,
+    val crashes: Int,
+    val age: Duration,
+    val runner: RunnerId? = null,
+)
 
 /**
  * How long fingerprints are remembered.
@@ -105,6 +111,18 @@
         }
     }
 
+    /** Whether any fingerprint is suspected, refused or was cleared lately. */
+    public val hasSuspects: Boolean get() = shards.any { shard -> synchronized(shard) { shard.records.isNotEmpty() } }
+
+    /**
+     * Whether a request with [fingerprint] is refused. For callers that do not isolate suspects: where many requests
+     * share a runner, holding back all that were there when it crashed would cost more than a second crash does.
+     */
+    public fun isQuarantined(fingerprint: RequestFingerprint): Boolean = inShard(fingerprint) { records ->
+        val record = records[fingerprint]
+        record != null && record.crashes >= QUARANTINE_CRASHES && !isForgotten(record)
+    }
+
     /** Notes that [runner] crashed while the request ran there. */
     public fun noteCrash(fingerprint: RequestFingerprint, runner: RunnerId): Unit = inShard(fingerprint) { records ->
         val record = records[fingerprint]?.takeUnless(::isForgotten)
@@ -144,7 +162,7 @@
             shard.records
                 .filterValues { it.holder == own || it.crashes >= QUARANTINE_CRASHES }
                 .map { (fingerprint, record) ->
-                    FingerprintReport(fingerprint, record.crashes, record.changed.elapsedNow())
+                    FingerprintReport(fingerprint, record.crashes, record.changed.elapsedNow(), record.lastRunner)
                 }
         }
     }
@@ -161,7 +179,9 @@
         val known = records[report.fingerprint]?.takeUnless(::isForgotten)
         val changed = timeSource.markNow() - report.age
         when {
-            known == null -> records[report.fingerprint] = Record(report.crashes, changed, sender)
+            known == null ->
+                records[report.fingerprint] =
+                    Record(report.crashes, changed, sender).apply { lastRunner = report.runner }
 
             known.crashes >= QUARANTINE_CRASHES -> Unit
 
@@ -170,6 +190,11 @@
                 known.changed = changed
             }
 
+            isAnotherCrash(known, report) -> {
+                known.crashes = QUARANTINE_CRASHES
+                known.changed = maxOf(known.changed, changed)
+            }
+
             report.crashes == 0 || known.crashes == 0 -> if (changed >
                 known.changed
             ) {
@@ -180,10 +205,17 @@
         }
     }
 
+    /** Whether [report] tells of the crash of another runner than [known] does; both must name theirs. */
+    private fun isAnotherCrash(known: Record, report: FingerprintReport): Boolean {
+        val areNamed = known.lastRunner != null && report.runner != null
+        return known.crashes > 0 && report.crashes > 0 && areNamed && known.lastRunner != report.runner
+    }
+
     private fun replace(known: Record, report: FingerprintReport, changed: ComparableTimeMark, sender: InstanceId) {
         known.crashes = report.crashes
         known.changed = changed
         known.holder = sender
+        known.lastRunner = report.runner
     }
 
     /** Whether [record] counts the loss of [runner] already; a peer's report does not name the runner. */
--- a/decision/src/test/kotlin/io/quetzalfield/decision/CrashQuarantineTest.kt
+++ b/decision/src/test/kotlin/io/quetzalfield/decision/CrashQuarantineTest.kt
@@ -92,6 +92,31 @@
             assertEquals(List(2) { CrashVerdict.QUARANTINED }, verdicts(poison))
         }
 
+        @Test
+        fun `a copy that crashed a runner at each of two entries is refused at both, however soon`() {
+            first.noteCrash(poison, RunnerId("runner-1"))
+            gossip()
+            second.noteCrash(poison, RunnerId("runner-2"))
+            gossip()
+            assertEquals(listOf(true, true), listOf(first, second).map { it.isQuarantined(poison) })
+        }
+
+        @Test
+        fun `two entries that learn of one another's crashes at once refuse the request`() {
+            first.noteCrash(poison, RunnerId("runner-1"))
+            second.noteCrash(poison, RunnerId("runner-2"))
+            gossip()
+            gossip()
+            assertEquals(listOf(true, true), listOf(first, second).map { it.isQuarantined(poison) })
+        }
+
+        @Test
+        fun `one crash that broke copies at two entries refuses nothing`() {
+            listOf(first, second).forEach { it.noteCrash(innocent, RunnerId("runner-1")) }
+            gossip()
+            assertEquals(listOf(false, false), listOf(first, second).map { it.isQuarantined(innocent) })
+        }
+
         @Test
         fun `a clearance reaches the others`() {
             first.noteCrash(innocent, RunnerId("runner-1"))
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -6,12 +6,15 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.util.concurrent.DefaultThreadFactory
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.quetzalfield.decision.CrashQuarantine
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.VersionSplit
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
+import io.quetzalfield.forwarding.fleet.CrashReports
 import io.quetzalfield.forwarding.fleet.FleetFollower
 import io.quetzalfield.forwarding.fleet.FleetKeys
+import io.quetzalfield.forwarding.fleet.LeasedRecords
 import io.quetzalfield.forwarding.fleet.MemberRecord
 import io.quetzalfield.forwarding.fleet.Members
 import io.quetzalfield.forwarding.fleet.Membership
@@ -29,8 +32,6 @@
 import io.quetzalfield.store.DutyLease
 import io.quetzalfield.store.FollowPace
 import io.quetzalfield.store.PlatformJson
-import io.quetzalfield.store.StoreRevision
-import io.quetzalfield.store.SwapResult
 import java.io.ByteArrayOutputStream
 import java.util.UUID
 import java.util.concurrent.ConcurrentHashMap
@@ -63,6 +64,7 @@
         retryAllowance = RetryAllowance(settings.retryBounds, timeSource) { members.count },
         connections = EndpointConnections(eventLoop, timeSource, metrics::countConnection),
         versions = VersionSplit(timeSource),
+        crashes = CrashQuarantine(incarnation.instance, timeSource = timeSource),
         timeSource = timeSource,
         confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
         memberCount = { members.count },
@@ -76,8 +78,9 @@
 
     @Volatile
     private var orders: List<RolloutOrder> = emptyList()
-    private val publishedObservations = HashMap<String, ObservationRecord>()
-    private val observationRevisions = HashMap<String, StoreRevision>()
+    private val observations = LeasedRecords(platform.store) { membership.lease }
+    private val crashReports =
+        CrashReports(context.crashes, incarnation, LeasedRecords(platform.store) { membership.lease })
 
     /** Orders whose end has been reported. */
     private val closedOrders: MutableSet<Long> = ConcurrentHashMap.newKeySet()
@@ -93,12 +96,13 @@
         platform.start(PlatformFeed(context) { orders = it })
         platform.store.follow(
             FleetKeys.FOLLOWED,
-            FleetFollower(context, members, onReported = closedOrders::add),
+            FleetFollower(context, members, crashReports, onReported = closedOrders::add),
             FleetPace,
         )
         every(MembershipPeriod, membership::renew)
         every(DutyPeriod, ::workOnDuties)
         every(ObservationPeriod, ::publishObservations)
+        every(CrashReportPeriod, crashReports::publish)
     }
 
     /** Leaves the directory, lets what runs end, and returns when this instance may end. */
@@ -172,21 +176,10 @@
 
     /** Stores what this instance has seen of versions while a roll-out runs. */
     private fun publishObservations() {
-        val lease = membership.lease ?: return
         for (order in orders.filter(::isOpen)) {
             val seen = eventLoop.submit<ObservationRecord> { observationsOf(order) }.get()
-            val key = FleetKeys.observations(order.service, incarnation)
-            if (publishedObservations[key] == seen) continue
-            val json = PlatformJson.encodeToString(ObservationRecord.serializer(), seen)
-            val expected = observationRevisions[key] ?: StoreRevision.Absent
-            val result = platform.store.compareAndSwap(key, expected, json, lease).getOrNull() ?: continue
-            when (result) {
-                is SwapResult.Swapped -> {
-                    observationRevisions[key] = result.stored
-                    publishedObservations[key] = seen
-                }
-
-                is SwapResult.Conflict -> observationRevisions[key] = result.current?.modified ?: StoreRevision.Absent
+            observations.publish(FleetKeys.observations(order.service, incarnation), seen) {
+                PlatformJson.encodeToString(ObservationRecord.serializer(), seen)
             }
         }
     }
@@ -238,6 +231,9 @@
         private val DutyPeriod = 800.milliseconds
         private val ObservationPeriod = 1_000.milliseconds
 
+        /** A request that crashes endpoints is refused everywhere well within a second of its second crash. */
+        private val CrashReportPeriod = 300.milliseconds
+
         /** Members change rarely, and a step of a roll-out comes at once. */
         private val FleetPace = FollowPace(wait = 4.seconds, relistEvery = 10.seconds)
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -2,6 +2,7 @@
 
 import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.ModelId
+import io.quetzalfield.model.RunnerId
 import io.quetzalfield.model.ServiceId
 import io.quetzalfield.model.VersionId
 import kotlin.time.ComparableTimeMark
@@ -71,6 +72,9 @@
 
     public val id: EndpointId get() = description.id
 
+    /** Names this start of the endpoint, as an id may come again. */
+    public val startId: RunnerId get() = RunnerId("$id@${description.start}")
+
     /** Whether it may get new work: registered, not leaving. */
     public val isEligible: Boolean get() = !isGone && !description.isLeaving && vanishedAt == null
 
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/CrashReports.kt
@@ -0,0 +1,73 @@
+package io.quetzalfield.forwarding.fleet
+
+import io.quetzalfield.decision.CrashQuarantine
+import io.quetzalfield.decision.FingerprintReport
+import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.RequestFingerprint
+import io.quetzalfield.model.RunnerId
+import io.quetzalfield.store.PlatformJson
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What an instance tells the others of requests that may crash the endpoints that run them. */
+@Serializable
+internal data class CrashReportRecord(val incarnation: Incarnation, val reports: List<Report>) {
+    /** A fingerprint with its crashes, the last of them at [runner], as [FingerprintReport] says. */
+    @Serializable
+    data class Report(
+        val fingerprint: RequestFingerprint,
+        val crashes: Int,
+        val ageMilliseconds: Long,
+        val runner: RunnerId? = null,
+    )
+}
+
+/** Shares the fingerprints of requests that may crash endpoints among the instances. */
+internal class CrashReports(
+    private val quarantine: CrashQuarantine,
+    private val incarnation: Incarnation,
+    private val records: LeasedRecords,
+) {
+    private val key = FleetKeys.crashes(incarnation)
+
+    /** Tells the others what has changed. Call it several times a second. */
+    fun publish() {
+        if (!quarantine.hasSuspects && !records.isPublished(key)) return
+        val reports = quarantine.reports().sortedByDescending(FingerprintReport::crashes).take(MOST_REPORTS)
+        val content = reports.associate { it.fingerprint to it.crashes }
+        records.publish(key, content) {
+            val record = CrashReportRecord(
+                incarnation = incarnation,
+                reports = reports.map { report ->
+                    CrashReportRecord.Report(
+                        fingerprint = report.fingerprint,
+                        crashes = report.crashes,
+                        ageMilliseconds = report.age.inWholeMilliseconds,
+                        runner = report.runner,
+                    )
+                },
+            )
+            PlatformJson.encodeToString(CrashReportRecord.serializer(), record)
+        }
+    }
+
+    /** Takes over what another instance tells. */
+    fun learn(record: CrashReportRecord) {
+        if (record.incarnation == incarnation) return
+        val refused = quarantine.quarantinedCount
+        quarantine.learn(
+            record.incarnation.instance,
+            record.reports.map {
+                FingerprintReport(it.fingerprint, it.crashes, it.ageMilliseconds.milliseconds, it.runner)
+            },
+        )
+        if (quarantine.quarantinedCount == refused) return
+        DecisionLog.write("quarantine_learned", "from" to record.incarnation, "refused" to quarantine.quarantinedCount)
+    }
+
+    private companion object {
+        /** About 150 bytes each: more suspects than one endpoint runs for one instance. */
+        const val MOST_REPORTS = 64
+    }
+}
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
@@ -15,6 +15,7 @@
 internal class FleetFollower(
     private val context: RoutingContext,
     private val members: Members,
+    private val crashes: CrashReports,
     private val onReported: (Long) -> Unit,
 ) : StoreFollower {
     private val eventLoop get() = context.eventLoop
@@ -22,19 +23,27 @@
     override fun onState(values: List<StoredValue>) {
         val (records, others) = values.partition { it.key.startsWith(FleetKeys.MEMBERS) }
         eventLoop.execute { members.replace(records) }
-        others.forEach(::takeStep)
+        others.forEach(::takeValue)
     }
 
     override fun onChange(change: StoreChange) {
         if (change.key.startsWith(FleetKeys.MEMBERS)) {
             eventLoop.execute { members.take(change) }
         } else {
-            change.value?.let(::takeStep)
+            change.value?.let(::takeValue)
         }
     }
 
     override fun onLost(reason: String) = DecisionLog.write("store_lost", "part" to "fleet", "reason" to reason)
 
+    private fun takeValue(value: StoredValue) {
+        if (value.key.startsWith(FleetKeys.CRASHES)) {
+            value.decodeOrLog(CrashReportRecord.serializer(), "record_unreadable")?.let(crashes::learn)
+        } else {
+            takeStep(value)
+        }
+    }
+
     private fun takeStep(value: StoredValue) {
         val record = value.decodeOrLog(RolloutRecord.serializer(), "record_unreadable") ?: return
         if (record.isReported) onReported(record.step.orderRevision)
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/LeasedRecords.kt
@@ -0,0 +1,42 @@
+package io.quetzalfield.forwarding.fleet
+
+import arrow.core.getOrElse
+import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.LeaseId
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.SwapResult
+
+/**
+ * Records of this instance in the store that live as long as its membership. Used by one thread at a time.
+ *
+ * @param lease the lease of the membership; `null` while there is none, and nothing is written.
+ */
+internal class LeasedRecords(private val store: KeyValueStore, private val lease: () -> LeaseId?) {
+    private data class Published(val content: Any, val lease: LeaseId)
+
+    private val published = HashMap<String, Published>()
+    private val revisions = HashMap<String, StoreRevision>()
+
+    /** Whether anything was written under [key]. */
+    fun isPublished(key: String): Boolean = key in published
+
+    /** Writes [encode]d [content] under [key] unless it stands there under the present lease. */
+    fun publish(key: String, content: Any, encode: () -> String) {
+        val present = Published(content, lease() ?: return)
+        if (published[key] == present) return
+        val expected = revisions[key] ?: StoreRevision.Absent
+        val result = store.compareAndSwap(key, expected, encode(), present.lease).getOrElse { error ->
+            DecisionLog.write("record_not_written", "key" to key, "reason" to error.message)
+            return
+        }
+        when (result) {
+            is SwapResult.Swapped -> {
+                revisions[key] = result.stored
+                published[key] = present
+            }
+
+            is SwapResult.Conflict -> revisions[key] = result.current?.modified ?: StoreRevision.Absent
+        }
+    }
+}
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Dialect.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Dialect.kt
@@ -68,7 +68,14 @@
     val isMisdirected: Boolean,
     val confidence: Int?,
     val load: EndpointLoad?,
-)
+) {
+    /** Whether the endpoint answers that it failed. */
+    val isFailure: Boolean get() = status >= FIRST_SERVER_ERROR
+
+    private companion object {
+        const val FIRST_SERVER_ERROR = 500
+    }
+}
 
 /** The headers of callers and endpoints, which the adapter of a platform decodes and encodes. */
 public interface HeaderDialect {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -37,8 +37,11 @@
     /** The response is whole. */
     public fun onEnd()
 
-    /** The connection is lost or not usable any more, before the response was whole. */
-    public fun onBroken(reason: String)
+    /**
+     * The connection cannot be used any more, before the response was whole. [isLost] if the endpoint or the network
+     * closed it, and not this instance because of what came on it.
+     */
+    public fun onBroken(reason: String, isLost: Boolean)
 }
 
 /** A connection to an endpoint, which carries one request at a time. Used on the event loop only. */
@@ -139,19 +142,19 @@
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         isReset = true
-        fail(cause.message ?: cause.javaClass.simpleName)
+        fail(cause.message ?: cause.javaClass.simpleName, isLost = true)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        fail("closed by the endpoint")
+        fail("closed by the endpoint", isLost = true)
         onClosed(this)
     }
 
-    private fun fail(reason: String) {
+    private fun fail(reason: String, isLost: Boolean = false) {
         val current = listener
         listener = null
         channel.close()
-        current?.onBroken(reason)
+        current?.onBroken(reason, isLost)
     }
 
     private fun isFramed(response: HttpMessage) =
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.forwarding.http
 
 import io.netty.channel.EventLoop
+import io.quetzalfield.decision.CrashQuarantine
 import io.quetzalfield.forwarding.RouterMetrics
 import io.quetzalfield.forwarding.choice.ConfidenceCascade
 import io.quetzalfield.forwarding.choice.EndpointPlacement
@@ -9,9 +10,12 @@
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.VersionSplit
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
+import io.quetzalfield.forwarding.configuration.Route
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.fleet.VersionObserver
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.ServiceId
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.TimeSource
@@ -34,6 +38,7 @@
     public val observer: VersionObserver = VersionObserver(),
     public val placement: EndpointPlacement = LeastWorkPlacement(),
     public val cascade: ModelCascade = ConfidenceCascade(),
+    public val crashes: CrashQuarantine = CrashQuarantine(InstanceId("alone")),
     public val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     public val random: Random = Random.Default,
     public val confirmationBound: Duration? = null,
@@ -52,10 +57,35 @@
     public val isConfigurationCurrent: Boolean
         get() = confirmationBound == null || configuration.isConfirmedWithin(confirmationBound)
 
+    /** One of the services that [route] leads to, by their weights. */
+    public fun pickService(route: Route): ServiceId {
+        val total = route.services.sumOf { it.weight }
+        var position = if (total > 0) random.nextInt(total) else 0
+        val picked = route.services.firstOrNull {
+            position -= it.weight
+            position < 0
+        }
+        return (picked ?: route.services.first()).service
+    }
+
+    /** Connections that this instance may have to one endpoint of [service]. */
+    public fun connectionLimit(service: ServiceId): Int {
+        val all = configuration.current?.services?.get(service)?.connectionLimit ?: DEFAULT_CONNECTION_LIMIT
+        return (all * CONNECTION_SHARE / memberCount().coerceAtLeast(1)).toInt().coerceAtLeast(1)
+    }
+
     /** Share of the places of [endpoints] that are taken, as far as this instance knows. */
     public fun occupancy(endpoints: List<Endpoint>): Double {
         val places = endpoints.sumOf { it.description.capacity }.coerceAtLeast(1)
         val taken = endpoints.sumOf { maxOf(it.inFlight, it.load?.let { load -> load.running + load.waiting } ?: 0) }
         return taken.toDouble() / places
     }
+
+    private companion object {
+        /** Used until the configuration names a limit: small enough for any server. */
+        const val DEFAULT_CONNECTION_LIMIT = 64
+
+        /** Part of an endpoint's connections that all instances use together; the rest covers members just joining. */
+        const val CONNECTION_SHARE = 0.9
+    }
 }
