--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.forwarding
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.forwarding.http.AnswerReason
@@ -28,6 +29,10 @@
         .help("Time from the whole request to the first event passed on").register(registry)
 
     init {
+        CounterWithCallback.builder().name("quetzalfield_log_lines_dropped_total")
+            .help("Log lines that were dropped as standard output did not take them in time")
+            .callback { it.call(RouterLog.droppedLines.toDouble()) }
+            .register(registry)
         AnswerReason.entries.forEach { own.initLabelValues(it.name.lowercase()) }
         RepeatReason.entries.forEach { repeats.initLabelValues(it.name.lowercase()) }
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -250,9 +250,10 @@
 
     private fun pass(event: StreamEvent) {
         if (!progress.hasBegun) {
-            context.metrics.observeFirstEvent(request.arrivedAt.elapsedNow())
+            val after = request.arrivedAt.elapsedNow()
+            context.metrics.observeFirstEvent(after)
             val streamHead = checkNotNull(response) { "a stream starts with its head" }
-            progress.begin(streamHead, endpoint.description.version)
+            progress.begin(streamHead, endpoint.description.version, after)
         }
         progress.pass(event)
         if (!reply.isWritable) setAutoRead(false)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -329,7 +329,13 @@
         private fun countAnswered(endpoint: Endpoint, answer: ResponseHead) {
             val after = arrivedAt.elapsedNow()
             if (context.crashes.hasSuspects) context.crashes.noteAnswer(request.fingerprint)
-            log("answered", "status" to answer.status, "endpoint" to endpoint, "after" to after)
+            log(
+                "answered",
+                "status" to answer.status,
+                "endpoint" to endpoint,
+                "first_event" to progress.firstEventAfter,
+                "after" to after,
+            )
             context.metrics.countForwarded(answer.status, after)
         }
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/StreamProgress.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/StreamProgress.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponse
 import io.quetzalfield.model.VersionId
+import kotlin.time.Duration
 
 /** What came of an event of an endpoint's stream. */
 internal enum class EventVerdict {
@@ -33,9 +34,14 @@
     var version: VersionId? = null
         private set
 
-    /** Sends the head of the stream, which goes on with [version] only. */
-    fun begin(head: HttpResponse, version: VersionId) {
+    /** Time from the arrival of the request to the first event passed on; `null` before. */
+    var firstEventAfter: Duration? = null
+        private set
+
+    /** Sends the head of the stream [after] the arrival of its request. The stream goes on with [version] only. */
+    fun begin(head: HttpResponse, version: VersionId, after: Duration) {
         hasBegun = true
+        firstEventAfter = after
         this.version = version
         reply.sendStreamHead(head)
     }
