--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -21,6 +21,7 @@
 import io.quetzalfield.forwarding.fleet.ObservationRecord
 import io.quetzalfield.forwarding.fleet.RolloutDuty
 import io.quetzalfield.forwarding.fleet.RolloutOrder
+import io.quetzalfield.forwarding.fleet.WorkExchange
 import io.quetzalfield.forwarding.http.CallerConnections
 import io.quetzalfield.forwarding.http.EndpointConnections
 import io.quetzalfield.forwarding.http.HttpListeners
@@ -52,7 +53,12 @@
     private val incarnation = Incarnation(InstanceId(settings.instance), UUID.randomUUID().toString())
     private val group = MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("router"), NioIoHandler.newFactory())
     private val eventLoop: EventLoop = group.next()
-    private val record = MemberRecord(incarnation, settings.callerAddress.toString(), settings.failureDomain)
+    private val record = MemberRecord(
+        incarnation = incarnation,
+        address = settings.callerAddress.toString(),
+        failureDomain = settings.failureDomain,
+        peerAddress = settings.peerAddress?.toString(),
+    )
     private val members = Members(record)
     private val metrics = RouterMetrics()
     private val context = RoutingContext(
@@ -69,6 +75,7 @@
         confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
         memberCount = { members.count },
     )
+    private val workExchange = WorkExchange(eventLoop, incarnation, context.endpoints, members, timeSource)
     private val callers = CallerConnections()
     private val membership = Membership(platform.store, record)
     private val duty = DutyLease(platform.store, ROLLOUT_DUTY, incarnation, DutyTimeToLive, DutyMargin, timeSource)
@@ -93,6 +100,8 @@
         settings.directoryAddress?.let { listeners.listenForQuestions(it, ::answerDirectory) }
         listeners.listenForQuestions(HostPort(settings.callerAddress.host, settings.metricsPort), ::answerMetrics)
         callerListener = listeners.listenForCallers(settings.callerAddress, context, callers)
+        settings.peerAddress?.let(workExchange::start)
+        context.onWorkChanged = workExchange::workChanged
         platform.start(PlatformFeed(context) { orders = it })
         platform.store.follow(
             FleetKeys.FOLLOWED,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterSettings.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterSettings.kt
@@ -12,6 +12,7 @@
  * @property callerAddress where callers' requests are taken.
  * @property readinessAddress where the platform asks whether this instance takes requests.
  * @property directoryAddress where callers ask which addresses to use.
+ * @property peerAddress where datagrams of the other instances are taken; `null` without that exchange.
  * @property metricsPort port at which metrics are served.
  * @property revocationBound time within which an API key that was taken away no longer works, also at an instance that
  * has lost the store; `null` when there is no such bound.
@@ -28,6 +29,7 @@
     val revocationBound: Duration?,
     val shutdownGrace: Duration = DefaultShutdownGrace,
     val addressValidity: Duration = DefaultAddressValidity,
+    val peerAddress: HostPort? = null,
     val retryBounds: RetryBounds = RetryBounds(ratio = 0.1, slack = 10.0, window = 10.seconds),
 ) {
     private companion object {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
@@ -12,10 +12,17 @@
 /** What has to be placed: a prompt for a model engine, or a call of a plain service, which has neither. */
 public data class Work(val model: ModelId? = null, val prompt: List<PromptPart> = emptyList())
 
+/**
+ * Where an attempt goes.
+ *
+ * @property tokensToRead prompt tokens that the endpoint is expected to read before the answer starts.
+ */
+public data class Placement(val endpoint: Endpoint, val tokensToRead: Int)
+
 /** Chooses the endpoint for one attempt. */
 public interface EndpointPlacement {
     /** One of [candidates]; `null` only when there are none. */
-    public fun choose(work: Work, candidates: List<Endpoint>, now: ComparableTimeMark): Endpoint?
+    public fun choose(work: Work, candidates: List<Endpoint>, now: ComparableTimeMark): Placement?
 }
 
 /**
@@ -24,14 +31,17 @@
  * Load pattern: many requests share long prompt parts, several instances decide apart, and reading a part on every
  * endpoint fills all memories with the same parts. Each shared part therefore has a home by rendezvous hashing, the
  * same at every instance, and is taken to be in its home's memory. A home that has more work waiting than the part
- * costs to read loses the request to another endpoint.
+ * costs to read loses the request to another endpoint. The work counts what all instances have there, as far as they
+ * have told one another.
  */
 public class LeastWorkPlacement(private val random: Random = Random.Default) : EndpointPlacement {
-    override fun choose(work: Work, candidates: List<Endpoint>, now: ComparableTimeMark): Endpoint? {
+    override fun choose(work: Work, candidates: List<Endpoint>, now: ComparableTimeMark): Placement? {
         val usable = candidates.filterNot { it.isAvoidedAt(now) }.ifEmpty { candidates }
         val home = homeOf(work, usable)
         val first = random.nextInt(maxOf(usable.size, 1))
-        return usable.indices.map { usable[(it + first) % usable.size] }.minByOrNull { cost(work, it, home, now) }
+        return usable.indices.map { usable[(it + first) % usable.size] }
+            .map { endpoint -> Placement(endpoint, tokensToRead(work, endpoint, home)) }
+            .minByOrNull { it.tokensToRead + waitingTokens(it.endpoint, now) }
     }
 
     private fun Endpoint.isAvoidedAt(now: ComparableTimeMark) = avoidedUntil.let { it != null && it > now }
@@ -42,23 +52,24 @@
         return usable.maxByOrNull { stableHash("$key|${it.id.value}") }
     }
 
-    /** Tokens of work before the first event of [work] at [endpoint]. */
-    private fun cost(work: Work, endpoint: Endpoint, home: Endpoint?, now: ComparableTimeMark): Long {
-        val model = work.model
-        val read = when {
-            model == null -> 0
-            endpoint === home -> work.prompt.last().tokens
-            else -> endpoint.cachedParts.unreadTokens(model, work.prompt)
-        }
+    private fun tokensToRead(work: Work, endpoint: Endpoint, home: Endpoint?): Int {
+        val model = work.model ?: return 0
+        val unread = endpoint.cachedParts.unreadTokens(model, work.prompt)
+        return if (endpoint === home) minOf(unread, work.prompt.last().tokens) else unread
+    }
+
+    /** Tokens of work that [endpoint] has before it comes to a new request. */
+    private fun waitingTokens(endpoint: Endpoint, now: ComparableTimeMark): Long {
         val cold = if (endpoint.description.coldFor > Duration.ZERO) COLD_TOKENS else 0
-        return read + cold + endpoint.unreadTokens + occupancyTokens(endpoint, now)
+        val queued = endpoint.unreadTokens + endpoint.peers.unreadTokensAt(now)
+        return cold + queued + occupancyTokens(endpoint, now)
     }
 
     private fun occupancyTokens(endpoint: Endpoint, now: ComparableTimeMark): Long {
         val reported = endpoint.load.takeIf {
             endpoint.loadReportedAt.let { at -> at != null && now - at < LoadValidity }
         }
-        val running = maxOf(endpoint.inFlight, reported?.running ?: 0)
+        val running = maxOf(endpoint.inFlight + endpoint.peers.runningAt(now), reported?.running ?: 0)
         val waiting = (reported?.waiting ?: 0) + (running - endpoint.description.capacity).coerceAtLeast(0)
         return running * RUNNING_TOKENS + waiting * WAITING_TOKENS
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -46,6 +46,9 @@
     /** Prompt tokens of own requests that the endpoint still has to read before their first event. */
     public var unreadTokens: Long = 0
 
+    /** What other instances have at the endpoint. */
+    public val peers: PeerLoads = PeerLoads()
+
     /** The newest load it reported, with its time. */
     public var load: EndpointLoad? = null
 
@@ -97,6 +100,7 @@
     /** Notes that the endpoint has started anew: it holds and knows nothing of before. */
     public fun startAnew() {
         cachedParts.clear()
+        peers.clear()
         load = null
         avoidedUntil = null
         failuresInRow = 0
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Membership.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Membership.kt
@@ -18,9 +18,15 @@
  * What an instance tells the others of itself.
  *
  * @property address where it takes callers' requests.
+ * @property peerAddress where it takes datagrams of the other instances; `null` where it takes none.
  */
 @Serializable
-public data class MemberRecord(val incarnation: Incarnation, val address: String, val failureDomain: String)
+public data class MemberRecord(
+    val incarnation: Incarnation,
+    val address: String,
+    val failureDomain: String,
+    val peerAddress: String? = null,
+)
 
 /** Keeps this instance's record in the store under a lease, until it leaves. */
 public class Membership(
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.util.concurrent.ScheduledFuture
 import io.quetzalfield.forwarding.choice.FirstAnswer
+import io.quetzalfield.forwarding.choice.Placement
 import io.quetzalfield.forwarding.choice.SilencePolicy
 import io.quetzalfield.forwarding.choice.SilenceVerdict
 import io.quetzalfield.forwarding.endpoints.Endpoint
@@ -46,21 +47,22 @@
     fun ended(attempt: Attempt, outcome: AttemptOutcome)
 }
 
-/** One send of [request] to one endpoint. Runs on the event loop. */
+/** One send of [request] to the endpoint of [placement]. Runs on the event loop. */
 internal class Attempt(
     private val request: AdmittedRequest,
     private val progress: StreamProgress,
     private val reply: CallerReply,
     private val owner: AttemptOwner,
-    val endpoint: Endpoint,
+    private val placement: Placement,
     private val connection: EndpointConnection,
     private val askedModel: ModelId?,
 ) : ResponseListener {
+    val endpoint: Endpoint get() = placement.endpoint
+
     private val context = request.context
     private val route = request.route
     private val head = request.head
     private val sentAt = context.timeSource.markNow()
-    private val unreadTokens = askedModel?.let { endpoint.cachedParts.unreadTokens(it, head.prompt) } ?: 0
     private var isPromptUnread = true
     private var isOver = false
     private var response: HttpResponse? = null
@@ -73,7 +75,8 @@
     /** Sends the request; [number] counts the sends of the request. */
     fun start(number: Int) {
         endpoint.inFlight++
-        endpoint.unreadTokens += unreadTokens
+        endpoint.unreadTokens += placement.tokensToRead
+        context.onWorkChanged()
         if (askedModel != null) endpoint.cachedParts.add(askedModel, head.prompt)
         val attemptHead = AttemptHead(
             expected = endpoint.id,
@@ -90,7 +93,7 @@
             "model" to askedModel?.value,
             "attempt" to number,
             "in_flight" to endpoint.inFlight,
-            "unread_tokens" to unreadTokens,
+            "unread_tokens" to placement.tokensToRead,
             "remaining" to attemptHead.remaining,
         )
         val body = request.caller.body
@@ -117,6 +120,7 @@
         silenceTimer?.cancel(false)
         endpoint.inFlight--
         promptIsRead()
+        context.onWorkChanged()
         wholeBody?.release()
         wholeBody = null
         splitter?.close()
@@ -131,7 +135,8 @@
     private fun promptIsRead() {
         if (!isPromptUnread) return
         isPromptUnread = false
-        endpoint.unreadTokens -= unreadTokens
+        endpoint.unreadTokens -= placement.tokensToRead
+        context.onWorkChanged()
     }
 
     /** Looks after the endpoint while it says nothing; a silent connection shows by nothing else. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -5,6 +5,7 @@
 import io.quetzalfield.forwarding.DecisionLog
 import io.quetzalfield.forwarding.RepeatReason
 import io.quetzalfield.forwarding.choice.FirstAnswer
+import io.quetzalfield.forwarding.choice.Placement
 import io.quetzalfield.forwarding.choice.RolloutPhase
 import io.quetzalfield.forwarding.choice.Work
 import io.quetzalfield.forwarding.configuration.RoutingConfiguration
@@ -158,7 +159,7 @@
 
         fun start() = send()
 
-        private fun firstModel(): ModelId? = if (head.leavesModelOpen) {
+        private fun firstModel(): ModelId? = if (head.leavesModelOpen && route.models.isNotEmpty()) {
             context.cascade.first(route.models, context.occupancy(context.endpoints.eligible(service)))
         } else {
             head.model
@@ -168,16 +169,17 @@
         private fun send() {
             if (isFinished) return
             if (isQuarantined()) return giveUp(AnswerReason.QUARANTINED)
-            val endpoint =
-                context.placement.choose(Work(model, head.prompt), candidates(), context.timeSource.markNow())
-                    ?: return giveUp(AnswerReason.NO_ENDPOINT)
+            val work = Work(model, head.prompt)
+            val placement = context.placement.choose(work, candidates(), context.timeSource.markNow())
+                ?: return giveUp(AnswerReason.NO_ENDPOINT)
+            val endpoint = placement.endpoint
             tried += endpoint
             context.connections.acquire(
                 endpoint.description.address,
                 limit = context.connectionLimit(service),
                 longestIdle = if (route.isRepeatable) KEPT_FOR_REPEATABLE else KEPT_FOR_OTHERS,
                 onFailure = { failure -> connectFailed(endpoint, failure) },
-                onReady = { connection -> connected(endpoint, connection) },
+                onReady = { connection -> connected(placement, connection) },
             )
         }
 
@@ -216,19 +218,19 @@
             send()
         }
 
-        private fun connected(endpoint: Endpoint, connection: EndpointConnection) {
+        private fun connected(placement: Placement, connection: EndpointConnection) {
             if (isFinished) return connection.abandon()
             if (!context.isConfigurationCurrent) {
                 connection.abandon()
                 return giveUp(AnswerReason.CONFIGURATION_UNCONFIRMED)
             }
-            if (!endpoint.isUsable()) {
+            if (!placement.endpoint.isUsable()) {
                 connection.abandon()
                 return send()
             }
             attemptsSent++
             runs.sending()
-            val next = Attempt(request, progress, reply, owner = this, endpoint, connection, model)
+            val next = Attempt(request, progress, reply, owner = this, placement, connection, model)
             attempt = next
             next.start(attemptsSent)
         }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -44,6 +44,9 @@
     public val confirmationBound: Duration? = null,
     public val memberCount: () -> Int = { 1 },
 ) {
+    /** Told whenever the work of this instance at an endpoint has changed. */
+    public var onWorkChanged: () -> Unit = {}
+
     /** Whether this instance is ending; answers then ask callers to close their connections. */
     public var isShuttingDown: Boolean = false
 
@@ -77,7 +80,11 @@
     /** Share of the places of [endpoints] that are taken, as far as this instance knows. */
     public fun occupancy(endpoints: List<Endpoint>): Double {
         val places = endpoints.sumOf { it.description.capacity }.coerceAtLeast(1)
-        val taken = endpoints.sumOf { maxOf(it.inFlight, it.load?.let { load -> load.running + load.waiting } ?: 0) }
+        val now = timeSource.markNow()
+        val taken = endpoints.sumOf { endpoint ->
+            val reported = endpoint.load?.let { it.running + it.waiting } ?: 0
+            maxOf(endpoint.inFlight + endpoint.peers.runningAt(now), reported)
+        }
         return taken.toDouble() / places
     }
 
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/LeastWorkPlacementTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/LeastWorkPlacementTest.kt
@@ -4,6 +4,8 @@
 import io.quetzalfield.forwarding.endpoints.EndpointLoad
 import io.quetzalfield.forwarding.endpoints.PromptPart
 import io.quetzalfield.forwarding.endpoints.description
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
 import io.quetzalfield.model.ModelId
 import org.junit.jupiter.api.Nested
 import kotlin.random.Random
@@ -27,7 +29,7 @@
     )
 
     private fun place(work: Work, seed: Int = 1, candidates: List<Endpoint> = endpoints) =
-        LeastWorkPlacement(Random(seed)).choose(work, candidates, timeSource.markNow())
+        LeastWorkPlacement(Random(seed)).choose(work, candidates, timeSource.markNow())?.endpoint
 
     @Nested
     inner class SharedParts {
@@ -38,6 +40,15 @@
             assertEquals(1, chosen.distinct().size)
         }
 
+        /** The pattern: several instances send one shared part home; each would count it as unread there anew. */
+        @Test
+        fun `a shared part counts as read at its home, also for an instance that has not sent it there`() {
+            val placement = LeastWorkPlacement(
+                Random(1),
+            ).choose(work(shared = 3, own = 1), endpoints, timeSource.markNow())
+            assertEquals(OWN_TOKENS, placement?.tokensToRead)
+        }
+
         @Test
         fun `many shared parts spread over the endpoints`() {
             val chosen = (1..200).map { place(work(shared = it, own = it)) }
@@ -52,6 +63,31 @@
         }
     }
 
+    /** The pattern: several instances choose at the same time, before any report of the endpoints tells of it. */
+    @Nested
+    inner class WorkOfOtherInstances {
+        private val peer = Incarnation(InstanceId("front-2"), "start")
+
+        @Test
+        fun `an endpoint at which another instance has prompts to be read is passed over`() {
+            endpoints.drop(1).forEach { it.peers.take(peer, 1, OWN_TOKENS.toLong(), timeSource.markNow()) }
+            assertEquals(endpoints.first(), place(Work(ModelId("small"), listOf(PromptPart("own", OWN_TOKENS)))))
+        }
+
+        @Test
+        fun `a plain call goes where no other instance has one`() {
+            endpoints.dropLast(1).forEach { it.peers.take(peer, 1, 0, timeSource.markNow()) }
+            assertEquals(endpoints.last(), place(Work()))
+        }
+
+        @Test
+        fun `a shared part stays at its home while another instance reads less there than the part costs`() {
+            val home = checkNotNull(place(work(shared = 3, own = 1)))
+            home.peers.take(peer, 1, OWN_TOKENS.toLong(), timeSource.markNow())
+            assertEquals(home, place(work(shared = 3, own = 2)))
+        }
+    }
+
     @Nested
     inner class PlainCalls {
         @Test
