Leave instances that are ending or silent out of the address answers, store or not

Change: the datagrams between instances, sent at least once a second, say when their sender is ending, and silence for three of them takes an instance out of the answers, unless nobody is heard.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -117,7 +117,10 @@
     /** Leaves the directory, lets what runs end, and returns when this instance may end. */
     override fun close() {
         DecisionLog.write("stop", "incarnation" to incarnation, "grace" to settings.shutdownGrace)
-        eventLoop.execute { isStopping = true }
+        eventLoop.execute {
+            isStopping = true
+            workExchange.announceLeaving()
+        }
         scheduler.execute {
             membership.leave()
             duty.release()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
@@ -36,6 +36,8 @@
 
     override fun onLost(reason: String) = DecisionLog.write("store_lost", "part" to "fleet", "reason" to reason)
 
+    override fun onRegained() = DecisionLog.write("store_regained", "part" to "fleet")
+
     private fun takeValue(value: StoredValue) {
         if (value.key.startsWith(FleetKeys.CRASHES)) {
             value.decodeOrLog(CrashReportRecord.serializer(), "record_unreadable")?.let(crashes::learn)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
@@ -7,10 +7,15 @@
 import io.quetzalfield.store.StoreChange
 import io.quetzalfield.store.StoredValue
 import java.net.InetSocketAddress
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The instances that take requests, as the store lists them. Used on the event loop only. */
 public class Members(private val own: MemberRecord) {
+    private class Word(val isLeaving: Boolean, val at: ComparableTimeMark)
+
     private val records = HashMap<String, MemberRecord>()
+    private val lastWords = HashMap<Incarnation, Word>()
 
     private val ownKey = FleetKeys.member(own.incarnation)
 
@@ -36,12 +41,29 @@
         DecisionLog.write("member_change", "key" to change.key, "is_listed" to (value != null), "members" to count)
     }
 
-    /** The addresses to give to callers: those of all other listed instances, and the own one if [includesOwn]. */
+    /** Notes that [incarnation] itself was heard at [at], which the store may not be able to tell. */
+    public fun noteHeard(incarnation: Incarnation, isLeaving: Boolean, at: ComparableTimeMark) {
+        val isNews = isLeaving && lastWords[incarnation]?.isLeaving != true
+        lastWords[incarnation] = Word(isLeaving, at)
+        if (isNews) DecisionLog.write("member_leaving", "incarnation" to incarnation)
+    }
+
+    /**
+     * The addresses to give to callers: those of all other listed instances but the ones that are ending or have fallen
+     * silent, and the own one if [includesOwn]. Where no other instance is heard, this one may be cut off itself, and
+     * silence tells nothing.
+     */
     public fun addresses(includesOwn: Boolean): List<String> {
-        val others = records.values.filter { it.incarnation != own.incarnation }.map(MemberRecord::address)
-        return (others + listOfNotNull(own.address.takeIf { includesOwn })).distinct()
+        val others = records.values.filter { it.incarnation != own.incarnation }
+        val staying = others.filterNot { lastWords[it.incarnation]?.isLeaving == true }
+        val heard = staying.filterNot { isSilent(it.incarnation) }
+        val chosen = if (heard.any { it.incarnation in lastWords }) heard else staying
+        return (chosen.map(MemberRecord::address) + listOfNotNull(own.address.takeIf { includesOwn })).distinct()
     }
 
+    private fun isSilent(incarnation: Incarnation): Boolean =
+        lastWords[incarnation]?.let { it.at.elapsedNow() > LongestSilence } ?: false
+
     private fun updatePeers() {
         peers = records.values.filter { it.incarnation != own.incarnation }
             .mapNotNull { record ->
@@ -49,9 +71,15 @@
                 record.incarnation to InetSocketAddress(address.host, address.port)
             }
             .toMap()
+        lastWords.keys.retainAll(records.values.map(MemberRecord::incarnation).toSet())
     }
 
     private fun put(value: StoredValue) {
         value.decodeOrLog(MemberRecord.serializer(), "member_unreadable")?.let { records[value.key] = it }
     }
+
+    private companion object {
+        /** Three messages that every instance sends once a second. */
+        val LongestSilence = 3_200.milliseconds
+    }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -24,7 +24,8 @@
 /**
  * Tells the other instances by datagrams what this one has at which endpoint, and takes what they tell, so that
  * instances which decide apart don't choose the same idle endpoint. Nothing depends on a datagram: without them the
- * endpoints' own reports are used.
+ * endpoints' own reports are used. The messages also show which instances live and which are ending, also while the
+ * store, which lists them, is away.
  */
 internal class WorkExchange(
     private val eventLoop: EventLoop,
@@ -51,6 +52,12 @@
         eventLoop.scheduleWithFixedDelay(::refresh, period, period, TimeUnit.MILLISECONDS)
     }
 
+    /** Tells the others that this instance is ending, now and with every message that follows. */
+    fun announceLeaving() {
+        report.isLeaving = true
+        refresh()
+    }
+
     /** Something has changed at an endpoint; the others are told soon. Called on the event loop. */
     fun workChanged() {
         if (isFlushDue || channel == null) return
@@ -85,6 +92,7 @@
         if ((newest[message.sender] ?: 0) >= message.number) return
         newest[message.sender] = message.number
         val now = timeSource.markNow()
+        members.noteHeard(message.sender, message.isLeaving, now)
         for (work in message.work) {
             endpoints.find(EndpointId(work.endpoint))?.peers?.take(message.sender, work.running, work.unreadTokens, now)
         }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
@@ -16,9 +16,15 @@
  * One datagram between instances. Its figures stand for themselves, so that a lost one is made good by the next.
  *
  * @property number grows with every message of [sender], so that one that was overtaken is known.
+ * @property isLeaving whether [sender] is ending, so that no more callers should be sent there.
  */
 @Serializable
-internal data class WorkMessage(val sender: Incarnation, val number: Long, val work: List<EndpointWork>) {
+internal data class WorkMessage(
+    val sender: Incarnation,
+    val number: Long,
+    val work: List<EndpointWork>,
+    val isLeaving: Boolean = false,
+) {
     fun encode(): ByteArray = PlatformJson.encodeToString(serializer(), this).toByteArray()
 
     companion object {
@@ -31,6 +37,9 @@
     private val toldLast = HashMap<EndpointId, EndpointWork>()
     private var number = 0L
 
+    /** Whether messages say that this instance is ending. */
+    var isLeaving = false
+
     /** Messages with what has changed at [endpoints] since the last call. */
     fun changes(endpoints: Collection<Endpoint>): List<WorkMessage> {
         val changed = endpoints.mapNotNull { endpoint ->
@@ -41,17 +50,21 @@
         return compose(changed)
     }
 
-    /** Messages with everything that this instance has at [endpoints], and with what has ended there. */
+    /**
+     * Messages with everything that this instance has at [endpoints], and with what has ended there; at least one,
+     * which shows that this instance lives.
+     */
     fun all(endpoints: Collection<Endpoint>): List<WorkMessage> {
         val told = endpoints.map { it.ownWork() }
             .filter { !it.isIdle || toldLast[EndpointId(it.endpoint)]?.isIdle == false }
         toldLast.clear()
         told.forEach { toldLast[EndpointId(it.endpoint)] = it }
-        return compose(told)
+        return compose(told).ifEmpty { listOf(message(emptyList())) }
     }
 
-    private fun compose(work: List<EndpointWork>): List<WorkMessage> =
-        work.chunked(LARGEST_MESSAGE).map { WorkMessage(sender, ++number, it) }
+    private fun compose(work: List<EndpointWork>): List<WorkMessage> = work.chunked(LARGEST_MESSAGE).map(::message)
+
+    private fun message(work: List<EndpointWork>) = WorkMessage(sender, ++number, work, isLeaving)
 
     private fun Endpoint.ownWork() = EndpointWork(id.value, inFlight, unreadTokens)
 
--- /dev/null
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembersTest.kt
@@ -0,0 +1,64 @@
+package io.quetzalfield.forwarding.fleet
+
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.StoredValue
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/** Load pattern: instances end or are cut off while the store, which lists them, does not answer. */
+class MembersTest {
+    private val time = TestTimeSource()
+    private val records = (1..4).map { number ->
+        MemberRecord(Incarnation(InstanceId("front-$number"), "start"), "10.0.0.$number:80", "a")
+    }
+    private val members = Members(own = records[0]).apply {
+        replace(
+            records.map {
+                val json = PlatformJson.encodeToString(MemberRecord.serializer(), it)
+                StoredValue(FleetKeys.member(it.incarnation), json, StoreRevision(1), StoreRevision(1))
+            },
+        )
+    }
+
+    private fun hear(vararg numbers: Int, isLeaving: Boolean = false) =
+        numbers.forEach { members.noteHeard(records[it - 1].incarnation, isLeaving, time.markNow()) }
+
+    private fun given() = members.addresses(includesOwn = true)
+        .map { it.substringAfterLast('.').substringBefore(':').toInt() }.sorted()
+
+    @Test
+    fun `an instance that says that it is ending is not given to callers`() {
+        hear(2, 3, 4)
+        hear(3, isLeaving = true)
+        assertEquals(listOf(1, 2, 4), given())
+    }
+
+    @Test
+    fun `an instance that has fallen silent is not given until it is heard again`() {
+        hear(2, 3, 4)
+        time += 2.seconds
+        hear(2, 3)
+        time += 2.seconds
+        assertEquals(listOf(1, 2, 3), given())
+        hear(4)
+        assertEquals(listOf(1, 2, 3, 4), given())
+    }
+
+    @Test
+    fun `an instance that hears nobody gives all that are listed, as it may be cut off itself`() {
+        hear(2, 3, 4)
+        time += 10.seconds
+        assertEquals(listOf(1, 2, 3, 4), given())
+    }
+
+    @Test
+    fun `instances that were never heard are given`() {
+        hear(2)
+        assertEquals(listOf(1, 2, 3, 4), given())
+    }
+}
--- a/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
@@ -22,6 +22,9 @@
 
     /** The store does not answer; what was reported may be out of date. */
     public fun onLost(reason: String) {}
+
+    /** The store answers again, after [onLost]. */
+    public fun onRegained() {}
 }
 
 /**
