--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/BillHistoryTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/BillHistoryTest.kt
@@ -1,7 +1,5 @@
 package io.quetzalfield.distribution
 
-import arrow.core.Either
-import arrow.core.right
 import io.quetzalfield.decision.HomeScope
 import io.quetzalfield.decision.homeOrder
 import io.quetzalfield.decision.witnessOrder
@@ -23,12 +21,6 @@
 import io.quetzalfield.peer.wire.BillRecord
 import io.quetzalfield.peer.wire.WitnessReply.Verdict
 import io.quetzalfield.steward.bills.BillFolding
-import io.quetzalfield.steward.bills.BillWitnesses
-import io.quetzalfield.steward.bills.CollectedBill
-import io.quetzalfield.steward.bills.WitnessError
-import io.quetzalfield.steward.bills.WitnessedSender
-import io.quetzalfield.steward.bills.toCollected
-import io.quetzalfield.steward.bills.toRecord
 import io.quetzalfield.store.bills.ACCOUNT_BILL_PREFIX
 import io.quetzalfield.store.bills.AccountBill
 import io.quetzalfield.store.bills.BILL_CELL_PREFIX
@@ -117,14 +109,14 @@
             holders[bill.incarnation to bill.sequence]?.let { it.listed != candidates(bill).first() } ?: false
     }
 
-    private inner class Fleet(val random: Random) : BillWitnesses {
+    private inner class Fleet(val random: Random) {
         val store = InMemoryKeyValueStore()
         private var runs = 0
         val live = MutableList(4) { Entry(it, runs++, this) }
         val billedKeys = mutableListOf<String>()
         val ended = mutableListOf<Incarnation>()
         private val mistaken = mutableSetOf<Entry>()
-        private val folding = BillFolding(store, this)
+        private val folding = BillFolding(store, LocalWitnesses(::note) { live.map(Entry::witnessed) })
         private val notes = mutableListOf<String>()
 
         /** Notes a step of the history, to be printed with a failure. */
@@ -136,31 +128,6 @@
         fun notesOn(key: String): String =
             notes.filter { "value=key-" !in it || "value=$key)" in it }.joinToString("\n")
 
-        override fun senders(): List<WitnessedSender> = emptyList()
-
-        override fun collect(incarnation: Incarnation, sequence: Long): Either<WitnessError, List<CollectedBill>> =
-            live.flatMap { it.witnessed.collect(incarnation, sequence) }
-                .map(BillRecord::toCollected)
-                .distinctBy(CollectedBill::sequence)
-                .also {
-                    note(
-                        "collected of $incarnation after $sequence: ${it.map { bill ->
-                            bill.sequence to bill.account.value
-                        }}",
-                    )
-                }
-                .right()
-
-        override fun announce(incarnation: Incarnation, bills: List<CollectedBill>): Either<WitnessError, Set<Long>> {
-            val records = bills.map { it.toRecord(incarnation) }
-            val refused = live.flatMap { it.witnessed.learn(records) }.map(BillRecord::getSequence).toSet()
-            if (refused.isNotEmpty()) note("bills $refused of $incarnation are billed by others")
-            return refused.right()
-        }
-
-        override fun forget(incarnation: Incarnation) =
-            live.forEach { it.witnessed.forget(incarnation, Long.MAX_VALUE) }
-
         /**
          * Each key is an account of its own, so that the sums tell each key's bills. A key comes again until one entry
          * has ended since, but not two: then those who knew it may be gone.
--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/MixedHistoriesTest.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/MixedHistoriesTest.kt
@@ -1,7 +1,5 @@
 package io.quetzalfield.distribution
 
-import arrow.core.Either
-import arrow.core.right
 import io.quetzalfield.entry.Bill
 import io.quetzalfield.entry.BillLedger
 import io.quetzalfield.entry.BillWitness
@@ -25,11 +23,6 @@
 import io.quetzalfield.peer.wire.BillRecord
 import io.quetzalfield.peer.wire.WitnessReply.Verdict
 import io.quetzalfield.steward.bills.BillFolding
-import io.quetzalfield.steward.bills.BillWitnesses
-import io.quetzalfield.steward.bills.CollectedBill
-import io.quetzalfield.steward.bills.WitnessError
-import io.quetzalfield.steward.bills.WitnessedSender
-import io.quetzalfield.steward.bills.toCollected
 import io.quetzalfield.steward.bills.toRecord
 import io.quetzalfield.store.DutyLease
 import io.quetzalfield.store.bills.BillTotals
@@ -157,7 +150,12 @@
         private fun fold(incarnation: Incarnation): Boolean {
             steps += "$incarnation is folded"
             ended += incarnation
-            return BillFolding(store, Collector(entries)).fold(incarnation).isRight()
+            return BillFolding(
+                store,
+                LocalWitnesses {
+                    entries.map(BillingEntry::witnessed)
+                },
+            ).fold(incarnation).isRight()
         }
 
         /** All is quiet: ended incarnations are folded, and the entries store what they have. */
@@ -173,25 +171,6 @@
         const val SETTLING_ROUNDS = 3
     }
 
-    private class Collector(private val entries: List<BillingEntry>) : BillWitnesses {
-        override fun senders(): List<WitnessedSender> = emptyList()
-
-        override fun collect(incarnation: Incarnation, sequence: Long): Either<WitnessError, List<CollectedBill>> =
-            entries.flatMap { it.witnessed.collect(incarnation, sequence) }
-                .map(BillRecord::toCollected)
-                .distinctBy(CollectedBill::sequence)
-                .right()
-
-        override fun announce(incarnation: Incarnation, bills: List<CollectedBill>): Either<WitnessError, Set<Long>> {
-            val records = bills.map { it.toRecord(incarnation) }
-            val refused = entries.flatMap { it.witnessed.learn(records) }.map(BillRecord::getSequence).toSet()
-            return refused.right()
-        }
-
-        override fun forget(incarnation: Incarnation) =
-            entries.forEach { it.witnessed.forget(incarnation, Long.MAX_VALUE) }
-    }
-
     @Property(tries = 5_000, shrinking = ShrinkingMode.OFF)
     fun `each key is billed once whatever crashes, pauses or gets lost`(@ForAll("seeds") seed: Long) {
         val random = Random(seed)
--- a/entry/src/main/kotlin/io/quetzalfield/entry/BilledKeys.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/BilledKeys.kt
@@ -53,12 +53,7 @@
      * Takes [key] for [ended], whose bill was collected; `false` when another is known to have billed it. A bill whose
      * witness has not answered yet gives way: its owner has not told its caller that it is billed.
      */
-    public fun learn(key: AccountKey, ended: Incarnation): Boolean = owners.access(key) { slot ->
-        val current = slot.value
-        val isFree = current?.owner == null || current.owner == ended || current.isPending
-        if (isFree) slot.value = Ownership(ended, isPending = false)
-        isFree
-    }
+    public fun learn(key: AccountKey, ended: Incarnation): Boolean = take(key, ended) { true }
 
     /**
      * Takes [key] for [sender], for which this entry is a witness; `false` when it is billed by another.
@@ -66,11 +61,15 @@
      * Two entries that run the same key at once may be each other's witness. Then the lower incarnation has the key,
      * so that exactly one of them is told that it is billed already.
      */
-    public fun witness(key: AccountKey, sender: Incarnation): Boolean = owners.access(key) { slot ->
-        val current = slot.value
-        val owner = current?.owner
-        val isFree = owner == null || owner == sender || (current.isPending && sender < owner)
-        if (isFree) slot.value = Ownership(sender, isPending = false)
-        isFree
-    }
+    public fun witness(key: AccountKey, sender: Incarnation): Boolean = take(key, sender) { owner -> sender < owner }
+
+    /** Takes [key] for [taker] unless another has it; one that has it pending gives way if [goesBefore] says so. */
+    private fun take(key: AccountKey, taker: Incarnation, goesBefore: (Incarnation) -> Boolean): Boolean =
+        owners.access(key) { slot ->
+            val current = slot.value
+            val owner = current?.owner
+            val isFree = owner == null || owner == taker || (current.isPending && goesBefore(owner))
+            if (isFree) slot.value = Ownership(taker, isPending = false)
+            isFree
+        }
 }
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/EventLoopTasks.kt
@@ -0,0 +1,15 @@
+package io.quetzalfield.forwarding
+
+import io.netty.channel.EventLoop
+import io.netty.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** Runs [task] after [delay], at once when it is negative. */
+internal fun EventLoop.schedule(delay: Duration, task: () -> Unit): ScheduledFuture<*> =
+    schedule(task, delay.inWholeMilliseconds.coerceAtLeast(0), TimeUnit.MILLISECONDS)
+
+/** Runs [task] again and again, [period] after the end of the run before; first after [period]. */
+internal fun EventLoop.repeatEvery(period: Duration, task: () -> Unit) {
+    scheduleWithFixedDelay(task, period.inWholeMilliseconds, period.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+}
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -126,29 +126,25 @@
             duty.release()
         }
         val end = timeSource.markNow() + settings.shutdownGrace - ShutdownMargin
-        after(settings.addressValidity * KEPT_VALIDITIES) {
+        eventLoop.schedule(settings.addressValidity * KEPT_VALIDITIES) {
             context.isShuttingDown = true
             callers.closeWhenIdle()
         }
-        after(settings.addressValidity * CACHED_VALIDITIES - ListenerMargin) {
+        eventLoop.schedule(settings.addressValidity * CACHED_VALIDITIES - ListenerMargin) {
             context.isRefusing = true
             callerListener?.close()
             callers.closeWhenIdle()
         }
-        eventLoop.scheduleWithFixedDelay({
+        eventLoop.repeatEvery(PollPeriod) {
             val isDone = context.isShuttingDown && context.openExchanges == 0 && callers.isEmpty
             if (isDone || end.hasPassedNow()) stopped.countDown()
-        }, PollPeriod.inWholeMilliseconds, PollPeriod.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        }
         stopped.await()
         DecisionLog.write("stopped", "open" to context.openExchanges)
         scheduler.shutdownNow()
         platform.close()
     }
 
-    private fun after(delay: Duration, task: () -> Unit) {
-        eventLoop.schedule(task, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-    }
-
     private var isStopping = false
     private var callerListener: Channel? = null
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
@@ -61,15 +61,14 @@
     /** Tokens of work that [endpoint] has before it comes to a new request. */
     private fun waitingTokens(endpoint: Endpoint, now: ComparableTimeMark): Long {
         val cold = if (endpoint.description.coldFor > Duration.ZERO) COLD_TOKENS else 0
-        val queued = endpoint.unreadTokens + endpoint.peers.unreadTokensAt(now)
-        return cold + queued + occupancyTokens(endpoint, now)
+        return cold + endpoint.unreadTokensAt(now) + occupancyTokens(endpoint, now)
     }
 
     private fun occupancyTokens(endpoint: Endpoint, now: ComparableTimeMark): Long {
         val reported = endpoint.load.takeIf {
             endpoint.loadReportedAt.let { at -> at != null && now - at < LoadValidity }
         }
-        val running = maxOf(endpoint.inFlight + endpoint.peers.runningAt(now), reported?.running ?: 0)
+        val running = maxOf(endpoint.runningAt(now), reported?.running ?: 0)
         val waiting = (reported?.waiting ?: 0) + (running - endpoint.description.capacity).coerceAtLeast(0)
         return running * RUNNING_TOKENS + waiting * WAITING_TOKENS
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -81,6 +81,12 @@
     /** Whether it may get new work: registered, not leaving. */
     public val isEligible: Boolean get() = !isGone && !description.isLeaving && vanishedAt == null
 
+    /** Requests that all instances have at the endpoint, as far as they have told one another. */
+    public fun runningAt(now: ComparableTimeMark): Int = inFlight + peers.runningAt(now)
+
+    /** Prompt tokens of the requests of all instances that the endpoint still has to read. */
+    public fun unreadTokensAt(now: ComparableTimeMark): Long = unreadTokens + peers.unreadTokensAt(now)
+
     /** Notes a failure at [now]: the endpoint is passed over for a while, longer with each failure in a row. */
     public fun failed(now: ComparableTimeMark) {
         avoidedUntil = now + FailurePause * (1 shl failuresInRow)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/CrashReports.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/CrashReports.kt
@@ -55,15 +55,16 @@
     /** Takes over what another instance tells. */
     fun learn(record: CrashReportRecord) {
         if (record.incarnation == incarnation) return
-        val refused = quarantine.quarantinedCount
+        val before = quarantine.quarantinedCount
         quarantine.learn(
             record.incarnation.instance,
             record.reports.map {
                 FingerprintReport(it.fingerprint, it.crashes, it.ageMilliseconds.milliseconds, it.runner)
             },
         )
-        if (quarantine.quarantinedCount == refused) return
-        DecisionLog.write("quarantine_learned", "from" to record.incarnation, "refused" to quarantine.quarantinedCount)
+        val refused = quarantine.quarantinedCount
+        if (refused == before) return
+        DecisionLog.write("quarantine_learned", "from" to record.incarnation, "refused" to refused)
     }
 
     private companion object {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
@@ -1,6 +1,8 @@
 package io.quetzalfield.forwarding.fleet
 
 import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.forwarding.StorePartLog
+import io.quetzalfield.forwarding.UNREADABLE_RECORD
 import io.quetzalfield.forwarding.decodeOrLog
 import io.quetzalfield.forwarding.http.RoutingContext
 import io.quetzalfield.store.StoreChange
@@ -19,6 +21,7 @@
     private val onReported: (Long) -> Unit,
 ) : StoreFollower {
     private val eventLoop get() = context.eventLoop
+    private val partLog = StorePartLog("fleet")
 
     override fun onState(values: List<StoredValue>) {
         val (records, others) = values.partition { it.key.startsWith(FleetKeys.MEMBERS) }
@@ -34,20 +37,20 @@
         }
     }
 
-    override fun onLost(reason: String) = DecisionLog.write("store_lost", "part" to "fleet", "reason" to reason)
+    override fun onLost(reason: String) = partLog.lost(reason)
 
-    override fun onRegained() = DecisionLog.write("store_regained", "part" to "fleet")
+    override fun onRegained() = partLog.regained()
 
     private fun takeValue(value: StoredValue) {
         if (value.key.startsWith(FleetKeys.CRASHES)) {
-            value.decodeOrLog(CrashReportRecord.serializer(), "record_unreadable")?.let(crashes::learn)
+            value.decodeOrLog(CrashReportRecord.serializer(), UNREADABLE_RECORD)?.let(crashes::learn)
         } else {
             takeStep(value)
         }
     }
 
     private fun takeStep(value: StoredValue) {
-        val record = value.decodeOrLog(RolloutRecord.serializer(), "record_unreadable") ?: return
+        val record = value.decodeOrLog(RolloutRecord.serializer(), UNREADABLE_RECORD) ?: return
         if (record.isReported) onReported(record.step.orderRevision)
         eventLoop.execute {
             if (context.versions.takeStep(record.step)) {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
@@ -19,6 +19,8 @@
 
     private val ownKey = FleetKeys.member(own.incarnation)
 
+    private val others: List<MemberRecord> get() = records.values.filter { it.incarnation != own.incarnation }
+
     /** Instances that share the bounds of the whole fleet; at least this one. */
     public val count: Int get() = if (ownKey in records) records.size else records.size + 1
 
@@ -54,7 +56,6 @@
      * silence tells nothing.
      */
     public fun addresses(includesOwn: Boolean): List<String> {
-        val others = records.values.filter { it.incarnation != own.incarnation }
         val staying = others.filterNot { lastWords[it.incarnation]?.isLeaving == true }
         val heard = staying.filterNot { isSilent(it.incarnation) }
         val chosen = if (heard.any { it.incarnation in lastWords }) heard else staying
@@ -65,7 +66,7 @@
         lastWords[incarnation]?.let { it.at.elapsedNow() > LongestSilence } ?: false
 
     private fun updatePeers() {
-        peers = records.values.filter { it.incarnation != own.incarnation }
+        peers = others
             .mapNotNull { record ->
                 val address = record.peerAddress?.let(HostPort::parse) ?: return@mapNotNull null
                 record.incarnation to InetSocketAddress(address.host, address.port)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
@@ -4,6 +4,7 @@
 import arrow.core.getOrElse
 import io.quetzalfield.decision.RolloutObservations
 import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.forwarding.UNREADABLE_RECORD
 import io.quetzalfield.forwarding.choice.RolloutPhase
 import io.quetzalfield.forwarding.choice.RolloutSchedule
 import io.quetzalfield.forwarding.choice.RolloutStep
@@ -47,7 +48,9 @@
 public data class ObservationRecord(val answers: Map<VersionId, Counts>) {
     /** Sums of one version. */
     @Serializable
-    public data class Counts(val answers: Long, val errors: Long, val slow: Long)
+    public data class Counts(val answers: Long, val errors: Long, val slow: Long) {
+        internal fun toObservations() = RolloutObservations(answers = answers, errors = errors, slow = slow)
+    }
 }
 
 /**
@@ -83,7 +86,7 @@
     private fun advance(order: RolloutOrder) {
         val key = FleetKeys.step(order.service)
         val stored = store.read(key).getOrElse { return }
-        val record = stored?.decodeOrLog(RolloutRecord.serializer(), UNREADABLE)
+        val record = stored?.decodeOrLog(RolloutRecord.serializer(), UNREADABLE_RECORD)
         val standing = record?.takeIf { it.step.orderRevision == order.revision.value }
         val revision = stored?.modified ?: StoreRevision.Absent
         when {
@@ -139,13 +142,9 @@
 
     private fun observationsOf(service: ServiceId): Map<VersionId, RolloutObservations>? {
         val values = store.list("${FleetKeys.OBSERVATIONS}${service.value}/").getOrElse { return null }
-        val records = values.mapNotNull { it.decodeOrLog(ObservationRecord.serializer(), UNREADABLE) }
+        val records = values.mapNotNull { it.decodeOrLog(ObservationRecord.serializer(), UNREADABLE_RECORD) }
         return records.flatMap { it.answers.entries }.groupBy({ it.key }, { it.value }).mapValues { (_, counts) ->
-            RolloutObservations(
-                answers = counts.sumOf { it.answers },
-                errors = counts.sumOf { it.errors },
-                slow = counts.sumOf { it.slow },
-            )
+            counts.map(ObservationRecord.Counts::toObservations).reduce(RolloutObservations::plus)
         }
     }
 
@@ -157,8 +156,6 @@
     }
 
     private companion object {
-        const val UNREADABLE = "record_unreadable"
-
         /** Bounds what a step of the time of day adds to the age of a roll-out. */
         val LongestTakeover = 10_000.milliseconds
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -12,11 +12,12 @@
 import io.quetzalfield.forwarding.DecisionLog
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.endpoints.EndpointId
+import io.quetzalfield.forwarding.repeatEvery
+import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.Incarnation
 import kotlinx.serialization.SerializationException
 import java.net.InetSocketAddress
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -29,7 +30,7 @@
  */
 internal class WorkExchange(
     private val eventLoop: EventLoop,
-    private val own: Incarnation,
+    own: Incarnation,
     private val endpoints: EndpointDirectory,
     private val members: Members,
     private val timeSource: TimeSource.WithComparableMarks,
@@ -48,8 +49,7 @@
             return
         }
         channel = bound.channel()
-        val period = RefreshPeriod.inWholeMilliseconds
-        eventLoop.scheduleWithFixedDelay(::refresh, period, period, TimeUnit.MILLISECONDS)
+        eventLoop.repeatEvery(RefreshPeriod, ::refresh)
     }
 
     /** Tells the others that this instance is ending, now and with every message that follows. */
@@ -62,7 +62,7 @@
     fun workChanged() {
         if (isFlushDue || channel == null) return
         isFlushDue = true
-        eventLoop.schedule(::flush, FlushDelay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        eventLoop.schedule(FlushDelay, ::flush)
     }
 
     private fun flush() {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/AdmittedRequest.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/AdmittedRequest.kt
@@ -1,13 +1,10 @@
 package io.quetzalfield.forwarding.http
 
-import io.netty.util.concurrent.ScheduledFuture
 import io.quetzalfield.decision.fingerprintOf
-import io.quetzalfield.forwarding.DecisionLog
 import io.quetzalfield.forwarding.configuration.ClientAccount
 import io.quetzalfield.forwarding.configuration.Route
 import io.quetzalfield.model.RequestFingerprint
 import io.quetzalfield.model.ServiceId
-import java.util.concurrent.TimeUnit
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 
@@ -37,10 +34,4 @@
         val body = caller.body.toString(Charsets.ISO_8859_1)
         fingerprintOf("${message.method()} ${message.uri()} ${account?.account?.value}\n$body")
     }
-
-    fun schedule(delay: Duration, task: () -> Unit): ScheduledFuture<*> =
-        context.eventLoop.schedule(task, delay.inWholeMilliseconds.coerceAtLeast(0), TimeUnit.MILLISECONDS)
-
-    fun log(event: String, vararg fields: Pair<String, Any?>) =
-        DecisionLog.write(event, "request" to head.id?.value, *fields)
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -8,6 +8,7 @@
 import io.quetzalfield.forwarding.choice.SilencePolicy
 import io.quetzalfield.forwarding.choice.SilenceVerdict
 import io.quetzalfield.forwarding.endpoints.Endpoint
+import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.ModelId
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -86,7 +87,7 @@
             resumeAfter = progress.lastEvent,
             urgency = (request.account?.priority ?: route.priority).coerceIn(0, LEAST_URGENT),
         )
-        request.log(
+        request.caller.log(
             "send",
             "endpoint" to endpoint,
             "version" to endpoint.description.version.value,
@@ -110,7 +111,7 @@
     /** Ends the attempt without telling its owner. */
     fun abandon(reason: String) {
         if (isOver) return
-        request.log("abandon", "endpoint" to endpoint, "reason" to reason, "after" to sentAt.elapsedNow())
+        request.caller.log("abandon", "endpoint" to endpoint, "reason" to reason, "after" to sentAt.elapsedNow())
         connection.abandon()
         close()
     }
@@ -143,7 +144,7 @@
     private fun watchSilence() {
         val silence = SilencePolicy.silence(route, silenceOfEndpoint(), lastHeard.elapsedNow())
         val wait = SilencePolicy.limit(route) - silence
-        silenceTimer = request.schedule(maxOf(wait, ShortestCheck)) {
+        silenceTimer = context.eventLoop.schedule(maxOf(wait, ShortestCheck)) {
             if (isOver) return@schedule
             when (SilencePolicy.judge(route, silenceOfEndpoint(), lastHeard.elapsedNow())) {
                 SilenceVerdict.WAIT -> watchSilence()
@@ -165,7 +166,7 @@
     }
 
     private fun silent() {
-        request.log("silent", "endpoint" to endpoint, "since" to lastHeard.elapsedNow())
+        request.caller.log("silent", "endpoint" to endpoint, "since" to lastHeard.elapsedNow())
         endpoint.failed(context.timeSource.markNow())
         if (!owner.mayLeaveSilentEndpoint()) return
         connection.abandon()
@@ -180,7 +181,7 @@
             endpoint.loadReportedAt = lastHeard
         }
         if (decoded.requestId != null && decoded.requestId != head.id) {
-            request.log("skipped_response", "endpoint" to endpoint, "of" to decoded.requestId.value)
+            request.caller.log("skipped_response", "endpoint" to endpoint, "of" to decoded.requestId.value)
             return false
         }
         this.response = response
@@ -200,7 +201,7 @@
 
     private fun refusedByEndpoint(decoded: ResponseHead) {
         if (decoded.isMisdirected) endpoint.isGone = true else endpoint.turnedAway(context.timeSource.markNow())
-        request.log("not_run", "endpoint" to endpoint, "status" to decoded.status, "load" to decoded.load)
+        request.caller.log("not_run", "endpoint" to endpoint, "status" to decoded.status, "load" to decoded.load)
         connection.abandon()
         end(AttemptOutcome.StatedNotRun)
     }
@@ -212,7 +213,7 @@
             splitter = EventSplitter()
             return
         }
-        request.log("ask_larger", "confidence" to decoded.confidence, "after" to request.arrivedAt.elapsedNow())
+        request.caller.log("ask_larger", "confidence" to decoded.confidence, "after" to request.arrivedAt.elapsedNow())
         connection.abandon()
         end(AttemptOutcome.TooUncertain(larger))
     }
@@ -221,7 +222,7 @@
         val asked = askedModel ?: return null
         val answer = FirstAnswer(
             confidence = decoded.confidence,
-            occupancy = context.occupancy(context.endpoints.eligible(request.service)),
+            occupancy = context.occupancy(request.service),
             remaining = route.objective - request.arrivedAt.elapsedNow(),
             expectedStart = sentAt.elapsedNow(),
         )
@@ -306,7 +307,7 @@
     }
 
     private fun broken(reason: String, isConnectionLost: Boolean = false) {
-        request.log("broken", "endpoint" to endpoint, "reason" to reason, "last_event" to progress.lastEvent)
+        request.caller.log("broken", "endpoint" to endpoint, "reason" to reason, "last_event" to progress.lastEvent)
         connection.abandon()
         endpoint.failed(context.timeSource.markNow())
         end(AttemptOutcome.Broken(mayHaveCrashed = isConnectionLost && responseHead == null))
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
@@ -27,8 +27,8 @@
 import io.netty.util.concurrent.ScheduledFuture
 import io.quetzalfield.forwarding.DecisionLog
 import io.quetzalfield.forwarding.configuration.CallerLimits
+import io.quetzalfield.forwarding.schedule
 import java.util.Locale
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -265,7 +265,7 @@
 
     private fun startTimer(delay: Duration, task: () -> Unit) {
         timer?.cancel(false)
-        timer = context.eventLoop.schedule(task, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        timer = context.eventLoop.schedule(delay, task)
     }
 
     private fun close() {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -10,6 +10,7 @@
 import io.quetzalfield.forwarding.choice.Work
 import io.quetzalfield.forwarding.configuration.RoutingConfiguration
 import io.quetzalfield.forwarding.endpoints.Endpoint
+import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.ModelId
 import io.quetzalfield.model.VersionId
 import kotlin.time.Duration
@@ -17,7 +18,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A caller's whole request. The exchange releases [body]. */
-public class CallerRequest(public val message: HttpRequest, public val head: RequestHead, public val body: ByteBuf)
+public class CallerRequest(public val message: HttpRequest, public val head: RequestHead, public val body: ByteBuf) {
+    /** Writes a log line on this request. */
+    internal fun log(event: String, vararg fields: Pair<String, Any?>) =
+        DecisionLog.write(event, "request" to head.id?.value, *fields)
+}
 
 /** One request from its arrival to its final answer. Runs on the event loop. */
 public class Exchange(
@@ -49,7 +54,7 @@
     public fun cancel() {
         if (isFinished) return
         context.metrics.countCancelled()
-        log("cancelled")
+        caller.log("cancelled")
         sender?.attempt?.abandon("caller left")
         finish()
     }
@@ -91,7 +96,7 @@
     private fun giveUp(reason: AnswerReason) {
         if (isFinished) return
         if (progress.hasBegun) {
-            log("broken_off", "reason" to reason, "last_event" to progress.lastEvent)
+            caller.log("broken_off", "reason" to reason, "last_event" to progress.lastEvent)
             reply.breakOff()
             return finish()
         }
@@ -106,7 +111,7 @@
     private fun answer(answer: OwnAnswer) {
         val after = arrivedAt.elapsedNow()
         context.metrics.countOwn(answer.status, answer.reason, after)
-        log(
+        caller.log(
             "own_answer",
             "status" to answer.status,
             "reason" to answer.reason,
@@ -134,9 +139,6 @@
         onFinished()
     }
 
-    private fun log(event: String, vararg fields: Pair<String, Any?>) =
-        DecisionLog.write(event, "request" to head.id?.value, *fields)
-
     /** Sends an admitted request to one endpoint after another until one answers it. */
     private inner class Sender(private val request: AdmittedRequest) : AttemptOwner {
         private val route = request.route
@@ -148,7 +150,7 @@
         /** Versions whose endpoints failed the request; others go first when it is repeated. */
         private val failedVersions = HashSet<VersionId>()
 
-        val deadlineTimer = request.schedule(request.remaining, ::timeOut)
+        val deadlineTimer = context.eventLoop.schedule(request.remaining, ::timeOut)
 
         /** The attempt that runs now. */
         var attempt: Attempt? = null
@@ -160,7 +162,7 @@
         fun start() = send()
 
         private fun firstModel(): ModelId? = if (head.leavesModelOpen && route.models.isNotEmpty()) {
-            context.cascade.first(route.models, context.occupancy(context.endpoints.eligible(service)))
+            context.cascade.first(route.models, context.occupancy(service))
         } else {
             head.model
         }
@@ -211,7 +213,7 @@
 
         private fun connectFailed(endpoint: Endpoint, failure: ConnectFailure) {
             if (failure == ConnectFailure.REFUSED_OR_TIMED_OUT) endpoint.failed(context.timeSource.markNow())
-            log("connect_failed", "endpoint" to endpoint, "failure" to failure)
+            caller.log("connect_failed", "endpoint" to endpoint, "failure" to failure)
             connectsFailed++
             if (connectsFailed >= MOST_CONNECTS) return giveUp(AnswerReason.ENDPOINTS_FULL)
             context.metrics.countRepeat(RepeatReason.CONNECT_FAILED)
@@ -243,7 +245,7 @@
                 (!isNewRun || !runs.mayHaveRun || route.isRepeatable) &&
                 context.retryAllowance.trySpend(service)
             if (!isAllowed) return false
-            log("repeat", "reason" to reason, "attempts" to attemptsSent, "remaining" to request.remaining)
+            caller.log("repeat", "reason" to reason, "attempts" to attemptsSent, "remaining" to request.remaining)
             sendAgain(reason)
             return true
         }
@@ -302,7 +304,7 @@
         /** The endpoint may have crashed, and the request may be the cause. */
         private fun noteCrash(endpoint: Endpoint) {
             context.crashes.noteCrash(request.fingerprint, endpoint.startId)
-            log("crash_suspected", "endpoint" to endpoint, "fingerprint" to request.fingerprint.value)
+            caller.log("crash_suspected", "endpoint" to endpoint, "fingerprint" to request.fingerprint.value)
         }
 
         private fun whole(endpoint: Endpoint, outcome: AttemptOutcome.Whole) {
@@ -331,7 +333,7 @@
         private fun countAnswered(endpoint: Endpoint, answer: ResponseHead) {
             val after = arrivedAt.elapsedNow()
             if (context.crashes.hasSuspects) context.crashes.noteAnswer(request.fingerprint)
-            log(
+            caller.log(
                 "answered",
                 "status" to answer.status,
                 "endpoint" to endpoint,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -11,7 +11,6 @@
 import io.quetzalfield.forwarding.choice.VersionSplit
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
 import io.quetzalfield.forwarding.configuration.Route
-import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.fleet.VersionObserver
 import io.quetzalfield.model.InstanceId
@@ -77,13 +76,14 @@
         return (all * CONNECTION_SHARE / memberCount().coerceAtLeast(1)).toInt().coerceAtLeast(1)
     }
 
-    /** Share of the places of [endpoints] that are taken, as far as this instance knows. */
-    public fun occupancy(endpoints: List<Endpoint>): Double {
-        val places = endpoints.sumOf { it.description.capacity }.coerceAtLeast(1)
+    /** Share of the places of [service] that are taken, as far as this instance knows. */
+    public fun occupancy(service: ServiceId): Double {
+        val eligible = endpoints.eligible(service)
+        val places = eligible.sumOf { it.description.capacity }.coerceAtLeast(1)
         val now = timeSource.markNow()
-        val taken = endpoints.sumOf { endpoint ->
+        val taken = eligible.sumOf { endpoint ->
             val reported = endpoint.load?.let { it.running + it.waiting } ?: 0
-            maxOf(endpoint.inFlight + endpoint.peers.runningAt(now), reported)
+            maxOf(endpoint.runningAt(now), reported)
         }
         return taken.toDouble() / places
     }
