Let one instance read the store for all, and tell work by groups

Change: RelayedStore. Instances form groups by failure domain; the oldest of each tells its mates what the store holds, and the oldest of all tells the others. A confirmation counts from the sending of the question that it answers, less the age that the other side states, so that a pause or a late answer never makes it younger. Who has not been shown for 0.7 s that its relay is current reads for itself. Leaders of groups exchange sums of work each 100 ms; small fleets (8 and below) tell each other as before. Only instances that read the store take the duty of roll-outs.

The first share now gives 2.5 requests a second and at most 8% (RolloutScheduleTest).

Fuzzing the messages found an index error that left the decoder; it is a serialization error now.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterPlatform.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterPlatform.kt
@@ -38,6 +38,6 @@
     public val directory: DirectoryDialect
     public val rolloutReports: RolloutReports
 
-    /** Starts to report to [listener]. */
-    public fun start(listener: PlatformListener)
+    /** Starts to report to [listener] what the platform's keys in [store] say. */
+    public fun start(listener: PlatformListener, store: FollowableStore)
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -27,6 +27,7 @@
 import io.quetzalfield.forwarding.http.HttpListeners
 import io.quetzalfield.forwarding.http.PlainAnswer
 import io.quetzalfield.forwarding.http.RoutingContext
+import io.quetzalfield.forwarding.relay.RelayedStore
 import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceId
@@ -76,10 +77,21 @@
         memberCount = { members.count },
     )
     private val workExchange = WorkExchange(eventLoop, incarnation, context.endpoints, members, timeSource)
+    private val relayGroup =
+        MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("relay", true), NioIoHandler.newFactory())
+    private val followed = RelayedStore(platform.store, record, relayGroup.next(), timeSource)
     private val callers = CallerConnections()
     private val membership = Membership(platform.store, record)
     private val duty = DutyLease(platform.store, ROLLOUT_DUTY, incarnation, DutyTimeToLive, DutyMargin, timeSource)
-    private val rollouts = RolloutDuty(platform.store, duty, platform.rolloutReports, timeSource = timeSource)
+    private val rollouts = RolloutDuty(
+        store = platform.store,
+        lease = duty,
+        reports = platform.rolloutReports,
+        timeSource = timeSource,
+        requestsPerSecond = { service ->
+            eventLoop.submit<Double> { context.retryAllowance.requestsPerSecond(service) }.get()
+        },
+    )
     private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS, DefaultThreadFactory("duties", true))
     private val stopped = CountDownLatch(1)
 
@@ -102,12 +114,13 @@
         callerListener = listeners.listenForCallers(settings.callerAddress, context, callers)
         settings.peerAddress?.let(workExchange::start)
         context.onWorkChanged = workExchange::workChanged
-        platform.start(PlatformFeed(context) { orders = it })
-        platform.store.follow(
+        platform.start(PlatformFeed(context) { orders = it }, followed)
+        followed.follow(
             FleetKeys.FOLLOWED,
             FleetFollower(context, members, crashReports, onReported = closedOrders::add),
             FleetPace,
         )
+        followed.start()
         every(MembershipPeriod, membership::renew)
         every(DutyPeriod, ::workOnDuties)
         every(ObservationPeriod, ::publishObservations)
@@ -121,6 +134,7 @@
             isStopping = true
             workExchange.announceLeaving()
         }
+        followed.leave()
         scheduler.execute {
             membership.leave()
             duty.release()
@@ -175,7 +189,8 @@
     private fun workOnDuties() {
         val standing = orders.filter(::isOpen)
         if (standing.isEmpty()) return
-        duty.renew()
+        // Instances that are told by others leave the duty to those that read the store.
+        if (followed.isReader || duty.held != null) duty.renew()
         rollouts.work(standing)
     }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RetryAllowance.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RetryAllowance.kt
@@ -3,6 +3,8 @@
 import io.quetzalfield.model.ServiceId
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 import kotlin.time.TimeSource
 
 /**
@@ -37,6 +39,14 @@
         windowOf(service).requests.addLast(timeSource.markNow())
     }
 
+    /** Requests of callers for [service] at all instances, by those that came to this one within the window. */
+    public fun requestsPerSecond(service: ServiceId): Double {
+        val requests = windowOf(service).requests
+        val oldest = requests.firstOrNull() ?: return 0.0
+        val span = maxOf(oldest.elapsedNow(), ShortestSpan).toDouble(DurationUnit.SECONDS)
+        return requests.size * memberCount().coerceAtLeast(1) / span
+    }
+
     /** Spends one repeated send to [service]; `false` when the bound does not allow it. */
     public fun trySpend(service: ServiceId): Boolean {
         val window = windowOf(service)
@@ -58,5 +68,8 @@
     private companion object {
         /** Part of the bound that is used; the rest covers sends in flight and members that have just gone. */
         const val SAFE_SHARE = 0.8
+
+        /** Time over which a rate is told, also when the first requests have only just come. */
+        val ShortestSpan = 1.seconds
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
@@ -23,27 +23,41 @@
  * Load pattern: a bad version fails at once, late, under load or on one route only, and may get only a small part of
  * all requests between order and deadline. It therefore stays at a small share for the first half, in which sessions
  * must not change sides either, then grows in two steps, and completes with time to spare.
+ *
+ * The first step moves the sessions on its share that are under way. Their number grows with the traffic while the
+ * judgement needs no more answers than before, so at much traffic the first share gives what is needed and no more.
  */
 public class RolloutSchedule(private val test: RolloutTest = RolloutTest()) {
-    /** The step at [elapsed] after the order of a roll-out that shall last [ramp]. */
+    /**
+     * The step at [elapsed] after the order of a roll-out that shall last [ramp].
+     *
+     * @param requestsPerSecond requests for the service at all instances.
+     */
     public fun next(
         elapsed: Duration,
         ramp: Duration,
         new: RolloutObservations,
         baseline: RolloutObservations,
+        requestsPerSecond: Double = 0.0,
     ): ScheduledStep {
         val verdict = test.judge(new, baseline)
         val progress = elapsed / ramp
         return when {
             verdict is RolloutVerdict.Harmful -> ScheduledStep.Revert("worse by ${verdict.cause.name.lowercase()}")
-            progress < CANARY_END -> ScheduledStep.Share(CANARY_SHARE)
+            progress < CANARY_END -> ScheduledStep.Share(canaryShare(requestsPerSecond))
             progress < PARTIAL_END -> ScheduledStep.Share(PARTIAL_SHARE)
             progress < FULL_END -> ScheduledStep.Share(1.0)
             else -> ScheduledStep.Complete
         }
     }
 
+    private fun canaryShare(requestsPerSecond: Double): Double =
+        if (requestsPerSecond * CANARY_SHARE <= CANARY_RATE) CANARY_SHARE else CANARY_RATE / requestsPerSecond
+
     private companion object {
+        /** Requests a second that show a version which fails half of them, within a few seconds. */
+        const val CANARY_RATE = 2.5
+
         /** Below the part of requests that a bad version may get over a whole roll-out. */
         const val CANARY_SHARE = 0.08
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/PeerLoads.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/PeerLoads.kt
@@ -25,9 +25,22 @@
     /** Prompt tokens of other instances' requests that the endpoint still has to read. */
     public fun unreadTokensAt(now: ComparableTimeMark): Long = valid(now).sumOf(Told::unreadTokens)
 
+    /** Requests that [peers] have at the endpoint. */
+    public fun runningAt(now: ComparableTimeMark, peers: Set<Incarnation>): Int =
+        validOf(now, peers).sumOf(Told::running)
+
+    /** Prompt tokens of the requests of [peers] that the endpoint still has to read. */
+    public fun unreadTokensAt(now: ComparableTimeMark, peers: Set<Incarnation>): Long =
+        validOf(now, peers).sumOf(Told::unreadTokens)
+
     /** Forgets everything: the endpoint has started anew. */
     public fun clear(): Unit = told.clear()
 
+    private fun validOf(now: ComparableTimeMark, peers: Set<Incarnation>): Collection<Told> {
+        valid(now)
+        return told.filterKeys { it in peers }.values
+    }
+
     private fun valid(now: ComparableTimeMark): Collection<Told> {
         told.values.removeIf { now - it.at > validity }
         return told.values
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
@@ -1,36 +1,48 @@
 package io.quetzalfield.forwarding.fleet
 
 import io.quetzalfield.forwarding.DecisionLog
-import io.quetzalfield.forwarding.decodeOrLog
+import io.quetzalfield.forwarding.relay.ListedMember
+import io.quetzalfield.forwarding.relay.RelayGroups
+import io.quetzalfield.forwarding.relay.listedMember
 import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.store.StoreChange
 import io.quetzalfield.store.StoredValue
 import java.net.InetSocketAddress
 import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** The instances that take requests, as the store lists them. Used on the event loop only. */
 public class Members(private val own: MemberRecord) {
     private class Word(val isLeaving: Boolean, val at: ComparableTimeMark)
 
-    private val records = HashMap<String, MemberRecord>()
+    private val listed = HashMap<String, ListedMember>()
     private val lastWords = HashMap<Incarnation, Word>()
 
     private val ownKey = FleetKeys.member(own.incarnation)
 
-    private val others: List<MemberRecord> get() = records.values.filter { it.incarnation != own.incarnation }
+    private val others: List<MemberRecord> get() = listed.values.map(ListedMember::record).filter {
+        it.incarnation !=
+            own.incarnation
+    }
 
     /** Instances that share the bounds of the whole fleet; at least this one. */
-    public val count: Int get() = if (ownKey in records) records.size else records.size + 1
+    public val count: Int get() = if (ownKey in listed) listed.size else listed.size + 1
 
     /** Where the other instances take datagrams. */
     public var peers: Map<Incarnation, InetSocketAddress> = emptyMap()
         private set
 
+    private var groups = RelayGroups(emptyList())
+
+    /** Time between two messages by which an instance shows the others that it lives; fewer when there are many. */
+    public val presencePeriod: Duration
+        get() = ShortestPresencePeriod * (count.toDouble() / PRESENCES_PER_PERIOD).coerceAtLeast(1.0)
+
     /** Takes the whole list. */
     public fun replace(values: List<StoredValue>) {
-        records.clear()
+        listed.clear()
         values.forEach(::put)
         updatePeers()
     }
@@ -38,7 +50,7 @@
     /** Takes one change of the list. */
     public fun take(change: StoreChange) {
         val value = change.value
-        if (value != null) put(value) else records.remove(change.key)
+        if (value != null) put(value) else listed.remove(change.key)
         updatePeers()
         DecisionLog.write("member_change", "key" to change.key, "is_listed" to (value != null), "members" to count)
     }
@@ -63,7 +75,25 @@
     }
 
     private fun isSilent(incarnation: Incarnation): Boolean =
-        lastWords[incarnation]?.let { it.at.elapsedNow() > LongestSilence } ?: false
+        lastWords[incarnation]?.let { it.at.elapsedNow() > presencePeriod * SILENT_PERIODS } ?: false
+
+    /** The members of the own group without this instance; the first of them that stays gathers its reports. */
+    internal val groupMates: List<Incarnation>
+        get() = groups.groupOf(own.incarnation).map(MemberRecord::incarnation).filter { it != own.incarnation }
+
+    /** The instance that gathers the reports of the own group; this one where no other does. */
+    internal val leader: Incarnation
+        get() = leaderOf(groups.groupOf(own.incarnation)) ?: own.incarnation
+
+    /** The instances that gather the reports of the other groups. */
+    internal val otherLeaders: List<Incarnation>
+        get() = groups.otherGroups(own.incarnation).mapNotNull(::leaderOf)
+
+    private fun leaderOf(group: List<MemberRecord>): Incarnation? =
+        group.map(MemberRecord::incarnation).firstOrNull { it == own.incarnation || isStaying(it) }
+
+    private fun isStaying(incarnation: Incarnation) =
+        lastWords[incarnation]?.isLeaving != true && !isSilent(incarnation)
 
     private fun updatePeers() {
         peers = others
@@ -72,15 +102,21 @@
                 record.incarnation to InetSocketAddress(address.host, address.port)
             }
             .toMap()
-        lastWords.keys.retainAll(records.values.map(MemberRecord::incarnation).toSet())
+        lastWords.keys.retainAll(listed.values.map { it.record.incarnation }.toSet())
+        groups = RelayGroups(listed.values)
     }
 
     private fun put(value: StoredValue) {
-        value.decodeOrLog(MemberRecord.serializer(), "member_unreadable")?.let { records[value.key] = it }
+        listedMember(value)?.let { listed[value.key] = it }
     }
 
     private companion object {
-        /** Three messages that every instance sends once a second. */
-        val LongestSilence = 3_200.milliseconds
+        val ShortestPresencePeriod = 1.seconds
+
+        /** Messages of other instances that one takes in a second; with more instances each sends less often. */
+        const val PRESENCES_PER_PERIOD = 64
+
+        /** Three messages, with the delay of the last. */
+        const val SILENT_PERIODS = 3.2
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
@@ -73,6 +73,7 @@
     private val schedule: RolloutSchedule = RolloutSchedule(),
     private val clock: Clock = Clock.System,
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    private val requestsPerSecond: (ServiceId) -> Double = { 0.0 },
 ) {
     private val firstSeen = HashMap<StoreRevision, ComparableTimeMark>()
 
@@ -107,7 +108,13 @@
         val new = seen[order.target] ?: RolloutObservations()
         val others = seen.filterKeys { it != order.target }.values
         val baseline = others.fold(RolloutObservations(), RolloutObservations::plus)
-        val scheduled = schedule.next(elapsed(order, standing), order.ramp, new, baseline)
+        val scheduled = schedule.next(
+            elapsed = elapsed(order, standing),
+            ramp = order.ramp,
+            new = new,
+            baseline = baseline,
+            requestsPerSecond = requestsPerSecond(order.service),
+        )
         val step = when (scheduled) {
             is ScheduledStep.Share -> standing.step.copy(share = maxOf(scheduled.share, standing.step.share))
             is ScheduledStep.Complete -> standing.step.copy(share = 1.0, phase = RolloutPhase.COMPLETE)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.endpoints.EndpointId
 import io.quetzalfield.forwarding.repeatEvery
@@ -27,19 +28,28 @@
  * instances which decide apart don't choose the same idle endpoint. Nothing depends on a datagram: without them the
  * endpoints' own reports are used. The messages also show which instances live and which are ending, also while the
  * store, which lists them, is away.
+ *
+ * In a small fleet each instance tells every other at once. In a larger one it tells the leader of its group; the
+ * leaders tell one another the sums of their groups, and their groups the sum of all. What an instance sends and
+ * takes then grows with its group and with the number of groups, and not with the number of instances.
  */
 internal class WorkExchange(
     private val eventLoop: EventLoop,
-    own: Incarnation,
+    private val own: Incarnation,
     private val endpoints: EndpointDirectory,
     private val members: Members,
     private val timeSource: TimeSource.WithComparableMarks,
 ) {
-    private val report = WorkReport(own)
+    private val composer = WorkMessageComposer(own)
+    private val ownReport = WorkReport()
+    private val groupReport = WorkReport(::groupWork)
+    private val fleetReport = WorkReport(::fleetWork)
     private val newest = HashMap<Incarnation, Long>()
     private var channel: Channel? = null
     private var isFlushDue = false
 
+    private val isSmallFleet: Boolean get() = members.count <= SMALL_FLEET
+
     /** Starts to listen at [address]. */
     fun start(address: HostPort) {
         val bound = Bootstrap().group(eventLoop).channel(NioDatagramChannel::class.java).handler(Receiver())
@@ -50,38 +60,76 @@
         }
         channel = bound.channel()
         eventLoop.repeatEvery(RefreshPeriod, ::refresh)
+        schedulePresence()
     }
 
     /** Tells the others that this instance is ending, now and with every message that follows. */
     fun announceLeaving() {
-        report.isLeaving = true
-        refresh()
+        composer.isLeaving = true
+        showPresence()
     }
 
     /** Something has changed at an endpoint; the others are told soon. Called on the event loop. */
     fun workChanged() {
         if (isFlushDue || channel == null) return
         isFlushDue = true
-        eventLoop.schedule(FlushDelay, ::flush)
-    }
-
-    private fun flush() {
-        isFlushDue = false
-        send(report.changes(endpoints.all))
+        eventLoop.schedule(if (isSmallFleet) SmallFleetFlushDelay else FlushDelay) {
+            isFlushDue = false
+            tell(WorkReport::changes)
+        }
     }
 
     private fun refresh() {
-        send(report.all(endpoints.all))
+        tell(WorkReport::all)
         newest.keys.retainAll(members.peers.keys)
     }
 
-    private fun send(messages: List<WorkMessage>) {
+    private fun schedulePresence() {
+        eventLoop.schedule(members.presencePeriod) {
+            showPresence()
+            schedulePresence()
+        }
+    }
+
+    private fun showPresence() = send(listOf(composer.presence()), members.peers.keys)
+
+    /** Tells what [select] takes of the reports to those who need it. */
+    private fun tell(select: WorkReport.(Collection<Endpoint>) -> List<EndpointWork>) {
+        val leader = members.leader
+        when {
+            isSmallFleet -> send(composer.compose(ownReport.select(endpoints.all), WorkScope.OWN), members.peers.keys)
+
+            leader != own -> send(composer.compose(ownReport.select(endpoints.all), WorkScope.OWN), listOf(leader))
+
+            else -> {
+                send(composer.compose(groupReport.select(endpoints.all), WorkScope.GROUP), members.otherLeaders)
+                send(composer.compose(fleetReport.select(endpoints.all), WorkScope.FLEET), members.groupMates)
+            }
+        }
+    }
+
+    private fun groupWork(endpoint: Endpoint): EndpointWork {
+        val now = timeSource.markNow()
+        val mates = members.groupMates.toSet()
+        return EndpointWork(
+            endpoint = endpoint.id.value,
+            running = endpoint.inFlight + endpoint.peers.runningAt(now, mates),
+            unreadTokens = endpoint.unreadTokens + endpoint.peers.unreadTokensAt(now, mates),
+        )
+    }
+
+    private fun fleetWork(endpoint: Endpoint): EndpointWork {
+        val now = timeSource.markNow()
+        return EndpointWork(endpoint.id.value, endpoint.runningAt(now), endpoint.unreadTokensAt(now))
+    }
+
+    private fun send(messages: List<WorkMessage>, receivers: Collection<Incarnation>) {
         val target = channel ?: return
-        val peers = members.peers.values
-        if (messages.isEmpty() || peers.size > MOST_PEERS) return
+        val addresses = receivers.mapNotNull(members.peers::get)
+        if (messages.isEmpty() || addresses.isEmpty()) return
         for (message in messages) {
             val bytes = Unpooled.wrappedBuffer(message.encode())
-            for (peer in peers) target.write(DatagramPacket(bytes.retainedDuplicate(), peer))
+            for (address in addresses) target.write(DatagramPacket(bytes.retainedDuplicate(), address))
             bytes.release()
         }
         target.flush()
@@ -93,9 +141,14 @@
         newest[message.sender] = message.number
         val now = timeSource.markNow()
         members.noteHeard(message.sender, message.isLeaving, now)
+        // A leader has the sum of all from the same messages as the sender.
+        if (message.scope == WorkScope.FLEET && members.leader == own) return
         for (work in message.work) {
-            endpoints.find(EndpointId(work.endpoint))?.peers?.take(message.sender, work.running, work.unreadTokens, now)
+            val endpoint = endpoints.find(EndpointId(work.endpoint)) ?: continue
+            val told = if (message.scope == WorkScope.FLEET) work.without(ownWork(endpoint)) else work
+            endpoint.peers.take(message.sender, told.running, told.unreadTokens, now)
         }
+        if (message.work.isNotEmpty() && !isSmallFleet && members.leader == own) workChanged()
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -114,12 +167,15 @@
 
     private companion object {
         /** Joins the changes of one request's decisions; short against the time in which a prompt is read. */
-        val FlushDelay = 5.milliseconds
+        val SmallFleetFlushDelay = 5.milliseconds
+
+        /** Joins the changes of many requests; short against the time for which a request runs. */
+        val FlushDelay = 100.milliseconds
 
         /** Makes good for lost datagrams within about one answer of usual length. */
         val RefreshPeriod = 1.seconds
 
-        /** With more instances each would hear from too many; the endpoints' reports have to do then. */
-        const val MOST_PEERS = 64
+        /** Instances up to which each tells every other. */
+        const val SMALL_FLEET = 8
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
@@ -1,15 +1,34 @@
 package io.quetzalfield.forwarding.fleet
 
+import io.quetzalfield.forwarding.PeerFormat
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointId
 import io.quetzalfield.model.Incarnation
-import io.quetzalfield.store.PlatformJson
 import kotlinx.serialization.Serializable
 
-/** What an instance has at one endpoint: requests, and prompt tokens of them that are still to be read. */
+/** What instances have at one endpoint: requests, and prompt tokens of them that are still to be read. */
 @Serializable
 internal data class EndpointWork(val endpoint: String, val running: Int, val unreadTokens: Long) {
     val isIdle: Boolean get() = running == 0 && unreadTokens == 0L
+
+    /** This work less [part] of it, which the teller of this may not have known yet. */
+    fun without(part: EndpointWork): EndpointWork = copy(
+        running = (running - part.running).coerceAtLeast(0),
+        unreadTokens = (unreadTokens - part.unreadTokens).coerceAtLeast(0),
+    )
+}
+
+/** Whose work a message tells. */
+@Serializable
+internal enum class WorkScope {
+    /** The sender's own. */
+    OWN,
+
+    /** That of the sender's group. */
+    GROUP,
+
+    /** That of all instances, with the receiver's own. */
+    FLEET,
 }
 
 /**
@@ -22,54 +41,60 @@
 internal data class WorkMessage(
     val sender: Incarnation,
     val number: Long,
-    val work: List<EndpointWork>,
+    val work: List<EndpointWork> = emptyList(),
     val isLeaving: Boolean = false,
+    val scope: WorkScope = WorkScope.OWN,
 ) {
-    fun encode(): ByteArray = PlatformJson.encodeToString(serializer(), this).toByteArray()
+    fun encode(): ByteArray = PeerFormat.encode(serializer(), this)
 
     companion object {
-        fun decode(bytes: ByteArray): WorkMessage = PlatformJson.decodeFromString(serializer(), bytes.decodeToString())
+        /** @throws kotlinx.serialization.SerializationException when [bytes] hold no message. */
+        fun decode(bytes: ByteArray): WorkMessage = PeerFormat.decode(serializer(), bytes)
     }
 }
 
-/** Composes what this instance tells the others of its work. Used on the event loop only. */
-internal class WorkReport(private val sender: Incarnation) {
-    private val toldLast = HashMap<EndpointId, EndpointWork>()
+/** Composes the messages of [sender]. Used on the event loop only. */
+internal class WorkMessageComposer(private val sender: Incarnation) {
     private var number = 0L
 
     /** Whether messages say that this instance is ending. */
     var isLeaving = false
 
-    /** Messages with what has changed at [endpoints] since the last call. */
-    fun changes(endpoints: Collection<Endpoint>): List<WorkMessage> {
-        val changed = endpoints.mapNotNull { endpoint ->
-            val work = endpoint.ownWork()
-            val before = toldLast[endpoint.id] ?: EndpointWork(endpoint.id.value, running = 0, unreadTokens = 0)
-            work.takeIf { it != before }?.also { toldLast[endpoint.id] = it }
-        }
-        return compose(changed)
-    }
+    /** Messages that tell [work], each small enough for a link to take it as a whole. */
+    fun compose(work: List<EndpointWork>, scope: WorkScope): List<WorkMessage> =
+        work.chunked(LARGEST_MESSAGE).map { WorkMessage(sender, ++number, it, isLeaving, scope) }
 
-    /**
-     * Messages with everything that this instance has at [endpoints], and with what has ended there; at least one,
-     * which shows that this instance lives.
-     */
-    fun all(endpoints: Collection<Endpoint>): List<WorkMessage> {
-        val told = endpoints.map { it.ownWork() }
-            .filter { !it.isIdle || toldLast[EndpointId(it.endpoint)]?.isIdle == false }
-        toldLast.clear()
-        told.forEach { toldLast[EndpointId(it.endpoint)] = it }
-        return compose(told).ifEmpty { listOf(message(emptyList())) }
-    }
+    /** A message that shows that this instance lives. */
+    fun presence(): WorkMessage = WorkMessage(sender, ++number, isLeaving = isLeaving)
 
-    private fun compose(work: List<EndpointWork>): List<WorkMessage> = work.chunked(LARGEST_MESSAGE).map(::message)
+    private companion object {
+        /** About 25 bytes each: a message stays below the 1,500 bytes that a link takes as a whole. */
+        const val LARGEST_MESSAGE = 40
+    }
+}
 
-    private fun message(work: List<EndpointWork>) = WorkMessage(sender, ++number, work, isLeaving)
+/** Tells what has changed of the work that [measure] finds at endpoints. Used on the event loop only. */
+internal class WorkReport(private val measure: (Endpoint) -> EndpointWork = ::ownWork) {
+    private val toldLast = HashMap<EndpointId, EndpointWork>()
 
-    private fun Endpoint.ownWork() = EndpointWork(id.value, inFlight, unreadTokens)
+    /** What has changed at [endpoints] since the last call. */
+    fun changes(endpoints: Collection<Endpoint>): List<EndpointWork> = endpoints.mapNotNull { endpoint ->
+        val work = measure(endpoint)
+        val before = toldLast[endpoint.id]
+        val isNews = if (before == null) !work.isIdle else work != before
+        work.takeIf { isNews }?.also { toldLast[endpoint.id] = it }
+    }
 
-    private companion object {
-        /** About 70 bytes each: a message stays below the 1,500 bytes that a link takes as a whole. */
-        const val LARGEST_MESSAGE = 16
+    /** All work at [endpoints], and what has ended there since the last call. */
+    fun all(endpoints: Collection<Endpoint>): List<EndpointWork> {
+        val told = endpoints.map(measure)
+            .filter { !it.isIdle || toldLast[EndpointId(it.endpoint)]?.isIdle == false }
+        toldLast.clear()
+        told.forEach { toldLast[EndpointId(it.endpoint)] = it }
+        return told
     }
 }
+
+/** What this instance has at [endpoint]. */
+internal fun ownWork(endpoint: Endpoint): EndpointWork =
+    EndpointWork(endpoint.id.value, endpoint.inFlight, endpoint.unreadTokens)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -91,6 +91,7 @@
             "send",
             "endpoint" to endpoint,
             "version" to endpoint.description.version.value,
+            "session" to head.session?.value,
             "model" to askedModel?.value,
             "attempt" to number,
             "in_flight" to endpoint.inFlight,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
@@ -43,7 +43,6 @@
     private var exchange: Exchange? = null
     private var isKept = true
     private var isClosing = false
-    private var isAnswered = true
     private var timer: ScheduledFuture<*>? = null
 
     /** Whether no request is being read or answered. */
@@ -167,8 +166,9 @@
             body = checkNotNull(body) { "a request has a body, which may be empty" },
         )
         body = null
-        isAnswered = false
-        Exchange(context, request, this, ::answered).also { exchange = it }.start()
+        val next = Exchange(context, request, this, ::answered).also { exchange = it }
+        // The caller may have closed long ago when this process reads late; the end of the stream is read by then.
+        context.eventLoop.execute { if (channelContext.channel().isActive) next.start() }
     }
 
     private fun answered() {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -38,9 +38,13 @@
     private var sender: Sender? = null
     private var isFinished = false
 
+    init {
+        context.openExchanges++
+    }
+
     /** Decides on the request and sends it on, or answers it at once. */
     public fun start() {
-        context.openExchanges++
+        if (isFinished) return
         val configuration = context.configuration.current
         when {
             context.isRefusing -> refuse(AnswerReason.SHUTTING_DOWN)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/HttpListeners.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/HttpListeners.kt
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandler
@@ -73,11 +74,16 @@
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.SO_KEEPALIVE, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, readingToTheEnd())
         .childHandler(initializer(initialize))
         .bind(address.host, address.port)
         .syncUninterruptibly()
         .channel()
 
+    /** Reads on until nothing is left, so that a close behind a request is seen before the request is sent on. */
+    private fun readingToTheEnd() =
+        AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MOST_READS)
+
     private fun initializer(initialize: (SocketChannel) -> Unit): ChannelHandler =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) = initialize(channel)
@@ -86,6 +92,9 @@
     private companion object {
         /** Until a configuration names a limit. */
         const val DEFAULT_HEADER_BYTES = 16_384
+
+        /** Reads of one connection in a row, before others have their turn. */
+        const val MOST_READS = 16
     }
 }
 
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RetryAllowanceTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RetryAllowanceTest.kt
@@ -32,6 +32,23 @@
         assertEquals(slackOnly, allowance.spendAll())
     }
 
+    @Test
+    fun `the rate of all instances is told from the requests of one, also soon after the first`() {
+        val timeSource = TestTimeSource()
+        val allowance = RetryAllowance(bounds, timeSource) { 4 }
+        assertEquals(0.0, allowance.requestsPerSecond(service))
+        repeat(40) {
+            allowance.countRequest(service)
+            timeSource += 100.milliseconds
+        }
+        assertEquals(40.0, allowance.requestsPerSecond(service), absoluteTolerance = 0.5)
+        repeat(400) {
+            allowance.countRequest(service)
+            timeSource += 50.milliseconds
+        }
+        assertEquals(80.0, allowance.requestsPerSecond(service), absoluteTolerance = 1.0)
+    }
+
     /** The pattern: every request of a service fails and each wants to be sent again. */
     @Test
     fun `in no window do repeats exceed the bound while everything fails`() {
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutScheduleTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutScheduleTest.kt
@@ -19,6 +19,17 @@
         assertEquals(ScheduledStep.Share(share), schedule.next(elapsed.seconds, 24.seconds, healthy, healthy))
     }
 
+    /** The pattern: hundreds of requests a second, a third of them in sessions that are under way. */
+    @Test
+    fun `the first step moves no more sessions where there is more traffic`() {
+        for (rate in listOf(40.0, 220.0, 2_000.0)) {
+            val step = schedule.next(3.seconds, 24.seconds, healthy, healthy, requestsPerSecond = rate)
+            assertTrue(assertIs<ScheduledStep.Share>(step).share * rate <= 2.6, "at $rate requests a second: $step")
+        }
+        val little = schedule.next(3.seconds, 24.seconds, healthy, healthy, requestsPerSecond = 20.0)
+        assertEquals(ScheduledStep.Share(0.08), little)
+    }
+
     @Test
     fun `it completes before its time is over`() {
         assertEquals(ScheduledStep.Complete, schedule.next(23.seconds, 24.seconds, healthy, healthy))
--- /dev/null
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkExchangeGroupsTest.kt
@@ -0,0 +1,90 @@
+package io.quetzalfield.forwarding.fleet
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.quetzalfield.forwarding.endpoints.EndpointDirectory
+import io.quetzalfield.forwarding.endpoints.EndpointId
+import io.quetzalfield.forwarding.endpoints.description
+import io.quetzalfield.model.HostPort
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.StoredValue
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import java.net.DatagramSocket
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Load pattern: many instances decide apart, so that what each tells every other one would cost more than it helps. */
+class WorkExchangeGroupsTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val eventLoop = group.next()
+    private val records = (1..12).map { number ->
+        MemberRecord(
+            incarnation = Incarnation(InstanceId("front-$number"), "start"),
+            address = "127.0.0.1:1",
+            failureDomain = listOf("a", "b", "c")[number % 3],
+            peerAddress = "127.0.0.1:${DatagramSocket(0).use { it.localPort }}",
+        )
+    }
+    private val instances = records.map(::Instance)
+
+    private inner class Instance(record: MemberRecord) {
+        val endpoints = EndpointDirectory().apply { update(description("runner-1")) }
+        val endpoint = checkNotNull(endpoints.find(EndpointId("runner-1")))
+        private val members = Members(record).apply {
+            replace(
+                records.mapIndexed { index, listed ->
+                    val json = PlatformJson.encodeToString(MemberRecord.serializer(), listed)
+                    val joined = StoreRevision(index + 1L)
+                    StoredValue(FleetKeys.member(listed.incarnation), json, joined, joined)
+                },
+            )
+        }
+        val exchange =
+            WorkExchange(eventLoop, record.incarnation, endpoints, members, TimeSource.Monotonic).apply {
+                start(checkNotNull(HostPort.parse(checkNotNull(record.peerAddress))))
+            }
+
+        fun has(running: Int, unreadTokens: Long) = onEventLoop {
+            endpoint.inFlight = running
+            endpoint.unreadTokens = unreadTokens
+            exchange.workChanged()
+        }
+    }
+
+    private fun <T> onEventLoop(action: () -> T): T = eventLoop.submit(action).get()
+
+    private fun known() = onEventLoop {
+        val now = TimeSource.Monotonic.markNow()
+        instances.map { it.endpoint.runningAt(now) to it.endpoint.unreadTokensAt(now) }.distinct()
+    }
+
+    private fun awaitKnown(running: Int, unreadTokens: Long) {
+        val start = TimeSource.Monotonic.markNow()
+        while (known() != listOf(running to unreadTokens)) {
+            if (start.elapsedNow() > 3.seconds) return assertEquals(listOf(running to unreadTokens), known())
+            Thread.sleep(5)
+        }
+    }
+
+    @AfterEach
+    fun stop() {
+        group.shutdownGracefully().await()
+    }
+
+    @Test
+    fun `what any instance has is known at all, once`() {
+        instances[11].has(running = 3, unreadTokens = 500)
+        awaitKnown(running = 3, unreadTokens = 500)
+        instances[0].has(running = 2, unreadTokens = 70)
+        awaitKnown(running = 5, unreadTokens = 570)
+        instances[4].has(running = 1, unreadTokens = 0)
+        awaitKnown(running = 6, unreadTokens = 570)
+        instances[11].has(running = 0, unreadTokens = 0)
+        awaitKnown(running = 3, unreadTokens = 70)
+    }
+}
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkReportTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkReportTest.kt
@@ -9,10 +9,11 @@
 import kotlin.test.assertTrue
 
 class WorkReportTest {
-    private val report = WorkReport(Incarnation(InstanceId("front-1"), "start"))
-    private val endpoints = List(40) { Endpoint(description("runner-$it", port = it + 1)) }
+    private val report = WorkReport()
+    private val composer = WorkMessageComposer(Incarnation(InstanceId("front-1"), "start"))
+    private val endpoints = List(90) { Endpoint(description("runner-$it", port = it + 1)) }
 
-    private fun changes() = report.changes(endpoints).flatMap(WorkMessage::work)
+    private fun changes() = report.changes(endpoints)
 
     @Test
     fun `only what has changed is told, and an end once`() {
@@ -30,8 +31,8 @@
     fun `a refresh tells everything, in messages that a link takes whole`() {
         endpoints.forEach { it.inFlight = 64 }
         changes()
-        val messages = report.all(endpoints)
-        assertEquals(40, messages.flatMap(WorkMessage::work).size)
+        val messages = composer.compose(report.all(endpoints), WorkScope.OWN)
+        assertEquals(90, messages.flatMap(WorkMessage::work).size)
         assertTrue(messages.all { it.encode().size < 1_400 }, "${messages.map { it.encode().size }}")
         assertEquals(messages.map(WorkMessage::number), messages.map(WorkMessage::number).sorted().distinct())
     }
@@ -41,7 +42,7 @@
         endpoints[3].inFlight = 1
         changes()
         endpoints[3].inFlight = 0
-        val refreshed = report.all(endpoints).flatMap(WorkMessage::work)
+        val refreshed = report.all(endpoints)
         assertEquals(listOf(EndpointWork("runner-3", running = 0, unreadTokens = 0)), refreshed)
         assertEquals(emptyList(), changes())
     }
@@ -49,7 +50,7 @@
     @Test
     fun `a message comes back as it was`() {
         endpoints[1].inFlight = 1
-        val message = report.changes(endpoints).single()
+        val message = composer.compose(report.changes(endpoints), WorkScope.GROUP).single()
         assertEquals(message, WorkMessage.decode(message.encode()))
     }
 }
--- /dev/null
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/PartMirrorTest.kt
@@ -0,0 +1,49 @@
+package io.quetzalfield.forwarding.relay
+
+import io.quetzalfield.store.StoreChange
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.StoredValue
+import org.junit.jupiter.api.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class PartMirrorTest {
+    private val mirror = PartMirror()
+
+    private fun stored(key: String, value: String, modified: Long) =
+        StoredValue(key, value, StoreRevision(modified), StoreRevision(1))
+
+    private fun known() = mirror.state.associate { it.key to it.value }
+
+    @Test
+    fun `a listing gives only what differs from before`() {
+        mirror.replace(listOf(stored("a", "one", 3), stored("b", "two", 4)))
+        val changes = mirror.replace(listOf(stored("b", "two", 4), stored("c", "three", 6)))
+        assertEquals(listOf(StoreChange("a", null), StoreChange("c", stored("c", "three", 6))), changes)
+        assertEquals(mapOf("b" to "two", "c" to "three"), known())
+    }
+
+    @Test
+    fun `an older value never takes the place of a newer one`() {
+        mirror.replace(listOf(stored("a", "new", 9)))
+        assertFalse(mirror.take(StoreChange("a", stored("a", "old", 5))))
+        assertEquals(emptyList(), mirror.replace(listOf(stored("a", "old", 5))))
+        assertEquals(mapOf("a" to "new"), known())
+    }
+
+    @Test
+    fun `a change that is known already is no news`() {
+        assertTrue(mirror.take(StoreChange("a", stored("a", "one", 3))))
+        assertFalse(mirror.take(StoreChange("a", stored("a", "one", 3))))
+        assertTrue(mirror.take(StoreChange("a", null)))
+        assertFalse(mirror.take(StoreChange("a", null)))
+    }
+
+    @Test
+    fun `the revision reached never falls`() {
+        mirror.reach(StoreRevision(8))
+        mirror.reach(StoreRevision(5))
+        assertEquals(StoreRevision(8), mirror.reached)
+    }
+}
--- /dev/null
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/RelayedStoreTest.kt
@@ -0,0 +1,222 @@
+package io.quetzalfield.forwarding.relay
+
+import arrow.core.getOrElse
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.quetzalfield.forwarding.fleet.FleetKeys
+import io.quetzalfield.forwarding.fleet.MemberRecord
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.store.CallTime
+import io.quetzalfield.store.Confirmation
+import io.quetzalfield.store.FollowPace
+import io.quetzalfield.store.FollowableStore
+import io.quetzalfield.store.KeyValueStore
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreChange
+import io.quetzalfield.store.StoreFollower
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.StoreWatch
+import io.quetzalfield.store.StoredValue
+import io.quetzalfield.store.fakes.InMemoryKeyValueStore
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import java.net.ServerSocket
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Clock
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Load pattern: the instance that reads the store for the others is lost at the worst moment, in different ways. */
+class RelayedStoreTest {
+    private val store = InMemoryKeyValueStore()
+    private val readings = AtomicInteger()
+    private val instances = (1..5).map(::Instance)
+
+    @AfterEach
+    fun stop() = instances.forEach(Instance::close)
+
+    /** The shared store as one instance reaches it, polled; [isCut] takes it away from this instance alone. */
+    private inner class OwnWay :
+        FollowableStore,
+        KeyValueStore by store {
+        @Volatile
+        var isCut = false
+
+        @Volatile
+        var lastConfirmed: ComparableTimeMark? = null
+
+        override fun follow(prefix: String, follower: StoreFollower, pace: FollowPace): StoreWatch {
+            val isOver = CountDownLatch(1)
+            readings.incrementAndGet()
+            thread(isDaemon = true) {
+                while (isOver.count > 0) {
+                    val sent = CallTime(TimeSource.Monotonic.markNow(), Clock.System.now())
+                    if (isCut) {
+                        follower.onLost("cut")
+                    } else {
+                        val values = store.list(prefix).getOrElse { emptyList() }
+                        follower.onState(values)
+                        follower.onReached(values.maxOfOrNull(StoredValue::modified) ?: StoreRevision.Absent)
+                        follower.onRegained()
+                        follower.onConfirmed(sent)
+                        lastConfirmed = sent.mark
+                    }
+                    Thread.sleep(20)
+                }
+                readings.decrementAndGet()
+            }
+            return StoreWatch { isOver.countDown() }
+        }
+    }
+
+    private inner class Instance(number: Int) : StoreFollower {
+        val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        val eventLoop = group.next()
+        val way = OwnWay()
+        private val port = ServerSocket(0).use { it.localPort }
+        val record = MemberRecord(
+            incarnation = Incarnation(InstanceId("front-$number"), "start"),
+            address = "127.0.0.1:1",
+            failureDomain = if (number <= 3) "a" else "b",
+            peerAddress = "127.0.0.1:$port",
+        )
+        val relayed = RelayedStore(way, record, eventLoop)
+        val known = ConcurrentHashMap<String, String>()
+
+        @Volatile
+        var confirmed: ComparableTimeMark? = null
+
+        init {
+            relayed.follow("op/", this, FollowPace(confirmation = Confirmation("op/config", 20.milliseconds)))
+            relayed.follow(
+                FleetKeys.FOLLOWED,
+                object : StoreFollower {
+                    override fun onState(values: List<StoredValue>) = Unit
+
+                    override fun onChange(change: StoreChange) = Unit
+                },
+                FollowPace(),
+            )
+        }
+
+        fun start() {
+            val json = PlatformJson.encodeToString(MemberRecord.serializer(), record)
+            store.compareAndSwap(FleetKeys.member(record.incarnation), StoreRevision.Absent, json)
+            relayed.start()
+        }
+
+        override fun onState(values: List<StoredValue>) = values.forEach { known[it.key] = it.value }
+
+        override fun onChange(change: StoreChange) {
+            val value = change.value
+            if (value == null) known.remove(change.key) else known[change.key] = value.value
+        }
+
+        override fun onConfirmed(sent: CallTime) {
+            val newest = instances.mapNotNull { it.way.lastConfirmed }.max()
+            assertTrue(sent.mark <= newest, "a confirmation is younger than the call that it comes from")
+            confirmed = sent.mark
+        }
+
+        fun close() {
+            group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS)
+        }
+    }
+
+    private fun startAll() {
+        write("first")
+        instances.forEach(Instance::start)
+        await(10.seconds) { instances.count { it.relayed.isReader } == 1 && readings.get() == 2 }
+    }
+
+    private fun write(value: String) {
+        val standing = store.read("op/config").getOrElse { null }?.modified ?: StoreRevision.Absent
+        store.compareAndSwap("op/config", standing, value)
+    }
+
+    private fun await(limit: Duration, condition: () -> Boolean) {
+        val start = TimeSource.Monotonic.markNow()
+        while (!condition()) {
+            check(start.elapsedNow() < limit) {
+                "not within $limit: ${instances.map { it.known to it.relayed.isReader }}"
+            }
+            Thread.sleep(5)
+        }
+    }
+
+    private fun awaitKnown(value: String, among: List<Instance> = instances) =
+        await(ChangeBound) { among.all { it.known["op/config"] == value } }
+
+    @Test
+    fun `one instance reads for all, and a change reaches all`() {
+        startAll()
+        assertTrue(instances.first().relayed.isReader)
+        write("second")
+        awaitKnown("second")
+        Thread.sleep(500)
+        assertEquals(1, instances.count { it.relayed.isReader })
+        assertTrue(instances.all { checkNotNull(it.confirmed).elapsedNow() < 1.seconds })
+    }
+
+    @Test
+    fun `a change is known in time although the reader has just been cut off from the store`() {
+        startAll()
+        instances.first().way.isCut = true
+        write("second")
+        awaitKnown("second", among = instances.drop(1))
+    }
+
+    @Test
+    fun `a change is known in time although the reader has just been paused`() {
+        startAll()
+        val isResumed = CountDownLatch(1)
+        instances.first().eventLoop.execute(isResumed::await)
+        Thread.sleep(100)
+        write("second")
+        awaitKnown("second", among = instances.drop(1))
+        isResumed.countDown()
+        await(10.seconds) { instances.count { it.relayed.isReader } == 1 }
+    }
+
+    @Test
+    fun `a change is known in time although the relay of a domain has just ended`() {
+        startAll()
+        instances[3].close()
+        write("second")
+        awaitKnown("second", among = instances - instances[3])
+    }
+
+    @Test
+    fun `an instance that leaves sends those it told to the next one`() {
+        startAll()
+        instances.first().relayed.leave()
+        write("second")
+        awaitKnown("second")
+        await(10.seconds) { instances.drop(1).any { it.relayed.isReader } }
+    }
+
+    @Test
+    fun `without a store everything is lost, and nothing is confirmed`() {
+        startAll()
+        instances.forEach { it.way.isCut = true }
+        Thread.sleep(1_500)
+        assertTrue(instances.all { checkNotNull(it.confirmed).elapsedNow() > 1.seconds })
+        instances.forEach { it.way.isCut = false }
+        write("second")
+        awaitKnown("second")
+    }
+
+    private companion object {
+        /** The shortest time within which the platform's users want a change to be in force. */
+        val ChangeBound = 2.seconds
+    }
+}
--- a/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
@@ -20,6 +20,9 @@
     /** Everything acknowledged by the store before [sent] has been reported. */
     public fun onConfirmed(sent: CallTime) {}
 
+    /** Every change of the part up to [revision] has been reported. */
+    public fun onReached(revision: StoreRevision) {}
+
     /** The store does not answer; what was reported may be out of date. */
     public fun onLost(reason: String) {}
 
@@ -27,6 +30,9 @@
     public fun onRegained() {}
 }
 
+/** A [key] that is read every [period], as a silent watch does not tell that there was nothing to hear. */
+public data class Confirmation(val key: String, val period: Duration)
+
 /**
  * How closely a part of the store is followed. Every call is paid for.
  *
@@ -34,11 +40,13 @@
  * @property relistEvery time after which the keys are listed again, as a watch may miss changes while the store drops
  * its history.
  * @property batchPause pause after an answer with changes, so that the next one brings several.
+ * @property confirmation what is read beside the watch to confirm the part; `null` where the listings are enough.
  */
 public data class FollowPace(
     val wait: Duration = 1_500.milliseconds,
     val relistEvery: Duration = 3.seconds,
     val batchPause: Duration = 20.milliseconds,
+    val confirmation: Confirmation? = null,
 )
 
 /** A store whose parts can be followed with the age of what is known. */
