End what never ends: heads, bodies, events and bytes that come one now and then

Ruled out as faults: heads, header lines and bodies without end of plain answers (limits were there).

Change: limits for events, skipped bytes and informational responses; only whole events count as signs of life; all requests together hold at most 32 MiB of answers that are not whole; the header's time runs from its first byte, a body's idle time from its last, with an end in any case.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -71,6 +71,9 @@
     private var wholeBody: ByteBuf? = null
     private var splitter: EventSplitter? = null
     private var lastHeard = sentAt
+
+    /** Bytes of the body that are held until it is whole. */
+    private var heldBytes = 0
     private var silenceTimer: ScheduledFuture<*>? = null
 
     /** Sends the request; [number] counts the sends of the request. */
@@ -123,6 +126,8 @@
         endpoint.inFlight--
         promptIsRead()
         context.onWorkChanged()
+        context.heldBodyBytes -= heldBytes
+        heldBytes = 0
         wholeBody?.release()
         wholeBody = null
         splitter?.close()
@@ -231,15 +236,22 @@
     }
 
     override fun onContent(content: ByteBuf) {
+        val events = splitter ?: return hold(content)
+        val whole = events.add(content)
+        // Single bytes of an event that never ends are no sign of work.
+        if (whole.isNotEmpty()) heard()
+        for (event in whole) if (isOver) event.bytes.release() else take(event)
+        if (!isOver && events.isOverfull) broken("event too large")
+    }
+
+    private fun hold(content: ByteBuf) {
         heard()
-        val events = splitter
-        if (events == null) {
-            wholeBody?.writeBytes(content)
-            content.release()
-            if ((wholeBody?.readableBytes() ?: 0) > LARGEST_WHOLE_BODY) broken("body too large")
-            return
-        }
-        for (event in events.add(content)) if (isOver) event.bytes.release() else take(event)
+        heldBytes += content.readableBytes()
+        context.heldBodyBytes += content.readableBytes()
+        wholeBody?.writeBytes(content)
+        content.release()
+        val isTooMuch = heldBytes > LARGEST_WHOLE_BODY || context.heldBodyBytes > MOST_HELD_BYTES
+        if (isTooMuch) broken("body too large")
     }
 
     private fun take(event: StreamEvent) {
@@ -326,6 +338,9 @@
         /** Bytes of an answer that is held until it is whole; larger ones are not expected of plain services. */
         const val LARGEST_WHOLE_BODY = 8 * 1024 * 1024
 
+        /** Bytes of such answers that all requests may hold together; well below the memory of a small instance. */
+        const val MOST_HELD_BYTES = 32 * 1024 * 1024
+
         /** Shortest pause between two looks at a silent endpoint. */
         val ShortestCheck = 50.milliseconds
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
@@ -30,6 +30,7 @@
 import io.quetzalfield.forwarding.schedule
 import java.util.Locale
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 /** A caller's connection: one request at a time; those sent ahead wait their turn. */
@@ -45,6 +46,12 @@
     private var isClosing = false
     private var timer: ScheduledFuture<*>? = null
 
+    /** Whether bytes of a header have come that is not whole; its time runs from the first of them. */
+    private var hasHeadBegun = false
+
+    /** When the body that is being read must have ended. */
+    private var bodyDeadline = context.timeSource.markNow()
+
     /** Whether no request is being read or answered. */
     public val isIdle: Boolean get() = message == null && exchange == null && waiting.isEmpty()
 
@@ -94,7 +101,9 @@
 
     /** The first bytes of a request have come, or more of them. */
     internal fun bytesArrived() {
-        if (message == null && exchange == null && !isClosing) startTimer(limits.headerTimeout) { tooSlow() }
+        if (!isIdle || isClosing || hasHeadBegun) return
+        hasHeadBegun = true
+        startTimer(limits.headerTimeout) { tooSlow() }
     }
 
     /** Closes the connection if no request is under way, else after its answer. */
@@ -130,7 +139,9 @@
     private fun readHead(request: HttpRequest) {
         message = request
         isKept = HttpUtil.isKeepAlive(request) && isKept
-        startTimer(limits.idleTimeout) { tooSlow() }
+        hasHeadBegun = false
+        bodyDeadline = context.timeSource.markNow() + LongestBody
+        startBodyTimer()
         val announced = HttpUtil.getContentLength(request, 0L)
         when {
             request.headers().getAll(HttpHeaderNames.HOST).size != 1 ->
@@ -155,7 +166,7 @@
             return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, AnswerReason.BODY_TOO_LARGE)
         }
         collected.addComponent(true, content.content())
-        if (content is LastHttpContent) begin()
+        if (content is LastHttpContent) begin() else startBodyTimer()
     }
 
     private fun begin() {
@@ -261,6 +272,10 @@
         if (exchange == null && !isClosing) reject(HttpResponseStatus.REQUEST_TIMEOUT, AnswerReason.SLOW_REQUEST)
     }
 
+    /** A body may pause for the idle time, and comes to its end in any case. */
+    private fun startBodyTimer() =
+        startTimer(minOf(limits.idleTimeout, bodyDeadline - context.timeSource.markNow())) { tooSlow() }
+
     private fun startIdleTimer() = startTimer(limits.idleTimeout) { if (isIdle) close() }
 
     private fun startTimer(delay: Duration, task: () -> Unit) {
@@ -287,6 +302,9 @@
     private companion object {
         const val MOST_WAITING_PARTS = 64
         const val MOST_BODY_COMPONENTS = 1_024
+
+        /** Longer than a slow link takes for the largest body that is allowed. */
+        val LongestBody = 30.seconds
     }
 }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -56,6 +56,8 @@
     private var isReset = false
     private var isWritten = true
     private var skipped = 0
+    private var skippedBytes = 0L
+    private var informational = 0
     private var isKept = true
     private var requestMethod: HttpMethod = HttpMethod.GET
 
@@ -84,6 +86,8 @@
         requestMethod = request.method()
         isWritten = false
         skipped = 0
+        skippedBytes = 0
+        informational = 0
         channel.write(request)
         channel.writeAndFlush(DefaultLastHttpContent(body)).addListener { isWritten = it.isSuccess }
     }
@@ -113,6 +117,7 @@
     private fun readHead(current: ResponseListener, response: HttpResponse) {
         if (response.status().code() < FIRST_FINAL_STATUS) {
             isSkipping = true
+            if (++informational > MOST_INFORMATIONAL) fail("informational responses without end")
             return
         }
         isKept = HttpUtil.isKeepAlive(response) && isFramed(response)
@@ -124,7 +129,9 @@
     private fun readContent(content: HttpContent) {
         val current = listener
         if (current == null || isSkipping) {
+            skippedBytes += content.content().readableBytes()
             content.release()
+            if (skippedBytes > MOST_SKIPPED_BYTES) return fail("too many bytes of responses to other requests")
             if (content is LastHttpContent) isSkipping = false
             return
         }
@@ -177,6 +184,12 @@
         /** A runner sends at most one extra response to a request; more are not worth waiting for. */
         const val MOST_SKIPPED = 3
 
+        /** Bytes of the bodies of such responses. */
+        const val MOST_SKIPPED_BYTES = 1024 * 1024L
+
+        /** Informational responses to one request; servers send one or two. */
+        const val MOST_INFORMATIONAL = 8
+
         /** A common idle timeout of HTTP servers, for endpoints that state none. */
         val DefaultKeepAlive = 5.seconds
         val KEEP_ALIVE: CharSequence = AsciiString.cached("keep-alive")
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -52,6 +52,9 @@
     /** Whether this instance takes no more requests. */
     public var isRefusing: Boolean = false
 
+    /** Bytes of endpoints' answers that are held until they are whole. */
+    public var heldBodyBytes: Int = 0
+
     /** Requests that have no final answer yet. */
     public var openExchanges: Int = 0
 
