--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/RelayMessageTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/RelayMessageTest.kt
@@ -11,9 +11,9 @@
 class RelayMessageTest {
     private val messages = listOf(
         RelayMessage.Ask(7),
-        RelayMessage.Current(7, listOf(PartCurrency("op/", 12, isLost = false, confirmedMillisecondsAgo = 3))),
-        RelayMessage.State("op/", listOf(RelayedKey("op/config", "{}", modified = 5, created = 2))),
-        RelayMessage.Changes("op/", listOf(RelayedKey("op/rollout/a"))),
+        RelayMessage.Current(7, listOf(PartCurrency("lists/", 12, isLost = false, confirmedMillisecondsAgo = 3))),
+        RelayMessage.State("lists/", listOf(RelayedKey("lists/current", "{}", modified = 5, created = 2))),
+        RelayMessage.Changes("lists/", listOf(RelayedKey("lists/orders/a"))),
     )
 
     @Test
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/RelayedStoreTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/RelayedStoreTest.kt
@@ -96,7 +96,7 @@
         var confirmed: ComparableTimeMark? = null
 
         init {
-            relayed.follow("op/", this, FollowPace(confirmation = Confirmation("op/config", 20.milliseconds)))
+            relayed.follow("lists/", this, FollowPace(confirmation = Confirmation("lists/current", 20.milliseconds)))
             relayed.follow(
                 FleetKeys.FOLLOWED,
                 object : StoreFollower {
@@ -139,8 +139,8 @@
     }
 
     private fun write(value: String) {
-        val standing = store.read("op/config").getOrElse { null }?.modified ?: StoreRevision.Absent
-        store.compareAndSwap("op/config", standing, value)
+        val standing = store.read("lists/current").getOrElse { null }?.modified ?: StoreRevision.Absent
+        store.compareAndSwap("lists/current", standing, value)
     }
 
     private fun await(limit: Duration, condition: () -> Boolean) {
@@ -154,7 +154,7 @@
     }
 
     private fun awaitKnown(value: String, among: List<Instance> = instances) =
-        await(ChangeBound) { among.all { it.known["op/config"] == value } }
+        await(ChangeBound) { among.all { it.known["lists/current"] == value } }
 
     @Test
     fun `one instance reads for all, and a change reaches all`() {
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/SourceChoiceTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/SourceChoiceTest.kt
@@ -68,7 +68,7 @@
         private fun isGood(isMate: Boolean, vararg parts: PartCurrency) = SourceChoice.isGood(parts.toList(), isMate)
 
         private fun part(ageMilliseconds: Long? = null, isLost: Boolean = false) =
-            PartCurrency("op/", reached = 5, isLost = isLost, confirmedMillisecondsAgo = ageMilliseconds)
+            PartCurrency("lists/", reached = 5, isLost = isLost, confirmedMillisecondsAgo = ageMilliseconds)
 
         @Test
         fun `a part that is lost or was confirmed too long ago is not good`() {
