Work out the groups of instances when the members change, not for each endpoint

Found by reading the change once more: a leader of a group worked out its mates anew for each endpoint of each message, ten times a second. They are kept now, as the peers are; behaviour is the same. Two lines that the formatter had broken badly are put right.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
@@ -22,10 +22,8 @@
 
     private val ownKey = FleetKeys.member(own.incarnation)
 
-    private val others: List<MemberRecord> get() = listed.values.map(ListedMember::record).filter {
-        it.incarnation !=
-            own.incarnation
-    }
+    private val others: List<MemberRecord>
+        get() = listed.values.map(ListedMember::record).filter { it.incarnation != own.incarnation }
 
     /** Instances that share the bounds of the whole fleet; at least this one. */
     public val count: Int get() = if (ownKey in listed) listed.size else listed.size + 1
@@ -34,7 +32,12 @@
     public var peers: Map<Incarnation, InetSocketAddress> = emptyMap()
         private set
 
-    private var groups = RelayGroups(emptyList())
+    private var ownGroup: List<Incarnation> = emptyList()
+    private var otherGroups: List<List<Incarnation>> = emptyList()
+
+    /** The members of the own group without this instance. */
+    internal var groupMates: Set<Incarnation> = emptySet()
+        private set
 
     /** Time between two messages by which an instance shows the others that it lives; fewer when there are many. */
     public val presencePeriod: Duration
@@ -77,20 +80,14 @@
     private fun isSilent(incarnation: Incarnation): Boolean =
         lastWords[incarnation]?.let { it.at.elapsedNow() > presencePeriod * SILENT_PERIODS } ?: false
 
-    /** The members of the own group without this instance; the first of them that stays gathers its reports. */
-    internal val groupMates: List<Incarnation>
-        get() = groups.groupOf(own.incarnation).map(MemberRecord::incarnation).filter { it != own.incarnation }
-
-    /** The instance that gathers the reports of the own group; this one where no other does. */
-    internal val leader: Incarnation
-        get() = leaderOf(groups.groupOf(own.incarnation)) ?: own.incarnation
+    /** The instance that gathers the reports of the own group: the first that stays, or this one. */
+    internal val leader: Incarnation get() = leaderOf(ownGroup) ?: own.incarnation
 
     /** The instances that gather the reports of the other groups. */
-    internal val otherLeaders: List<Incarnation>
-        get() = groups.otherGroups(own.incarnation).mapNotNull(::leaderOf)
+    internal val otherLeaders: List<Incarnation> get() = otherGroups.mapNotNull(::leaderOf)
 
-    private fun leaderOf(group: List<MemberRecord>): Incarnation? =
-        group.map(MemberRecord::incarnation).firstOrNull { it == own.incarnation || isStaying(it) }
+    private fun leaderOf(group: List<Incarnation>): Incarnation? =
+        group.firstOrNull { it == own.incarnation || isStaying(it) }
 
     private fun isStaying(incarnation: Incarnation) =
         lastWords[incarnation]?.isLeaving != true && !isSilent(incarnation)
@@ -103,7 +100,10 @@
             }
             .toMap()
         lastWords.keys.retainAll(listed.values.map { it.record.incarnation }.toSet())
-        groups = RelayGroups(listed.values)
+        val groups = RelayGroups(listed.values)
+        ownGroup = groups.groupOf(own.incarnation).map(MemberRecord::incarnation)
+        otherGroups = groups.otherGroups(own.incarnation).map { group -> group.map(MemberRecord::incarnation) }
+        groupMates = ownGroup.toSet() - own.incarnation
     }
 
     private fun put(value: StoredValue) {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -110,7 +110,7 @@
 
     private fun groupWork(endpoint: Endpoint): EndpointWork {
         val now = timeSource.markNow()
-        val mates = members.groupMates.toSet()
+        val mates = members.groupMates
         return EndpointWork(
             endpoint = endpoint.id.value,
             running = endpoint.inFlight + endpoint.peers.runningAt(now, mates),
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayedStore.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayedStore.kt
@@ -143,10 +143,8 @@
     }
 
     private inner class Passing : RelayedParts {
-        override val states get() = parts.values.filter { it.mirror.isComplete }.associate {
-            it.prefix to
-                it.mirror.state
-        }
+        override val states
+            get() = parts.values.filter { it.mirror.isComplete }.associate { it.prefix to it.mirror.state }
 
         override fun currency(): List<PartCurrency> = parts.values.map(Part::currency)
     }
