Hold sessions under way on their version until a roll-out is past its first half

Class of fault: a decision that is derived from a share, where the past of what it decides on is known to other instances only.

Cause: the version of a session was its hash against the share. A step moved all sessions below it that were under way.

Now the first share is told once and announced two seconds before it is given. From the announcement on every instance holds the sessions in it that it has sent to the version before, and tells all others by datagram, at once and with every message that shows that it lives. Held sessions stay until the share grows, in the second half. Their number is bounded by the traffic of the first share. A repeat of a session's request leaves the new version only at the first share: a session does not go back because one endpoint of a good version failed.

RolloutDutyTest: the first share stays as it is. A counter and a log line tell of sessions that change their version at one instance.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -23,6 +23,9 @@
         .help("Connections opened to endpoints").register(registry)
     private val cancelled = Counter.builder().name("quetzalfield_cancelled_total")
         .help("Requests whose caller left before the final answer").register(registry)
+    private val sessionMoves = Counter.builder().name("quetzalfield_session_moves_total")
+        .help("Requests sent to another version than the one before in their session at this instance")
+        .register(registry)
     private val duration = Histogram.builder().name("quetzalfield_answer_seconds")
         .help("Time from the whole request to the final answer").register(registry)
     private val firstEvent = Histogram.builder().name("quetzalfield_first_event_seconds")
@@ -60,6 +63,11 @@
         connections.inc()
     }
 
+    /** Counts a request that was sent to another version than the one before in its session. */
+    public fun countSessionMove() {
+        sessionMoves.inc()
+    }
+
     /** Counts a request whose caller has left. */
     public fun countCancelled() {
         cancelled.inc()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -8,6 +8,8 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.quetzalfield.decision.CrashQuarantine
 import io.quetzalfield.forwarding.choice.RetryAllowance
+import io.quetzalfield.forwarding.choice.SessionHolds
+import io.quetzalfield.forwarding.choice.SessionsUnderWay
 import io.quetzalfield.forwarding.choice.VersionSplit
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
@@ -62,6 +64,8 @@
     )
     private val members = Members(record)
     private val metrics = RouterMetrics()
+    private val sessions = SessionsUnderWay(timeSource)
+    private val sessionHolds = SessionHolds()
     private val context = RoutingContext(
         eventLoop = eventLoop,
         configuration = ConfigurationHolder(timeSource),
@@ -70,13 +74,15 @@
         metrics = metrics,
         retryAllowance = RetryAllowance(settings.retryBounds, timeSource) { members.count },
         connections = EndpointConnections(eventLoop, timeSource, metrics::countConnection),
-        versions = VersionSplit(timeSource),
+        sessions = sessions,
+        versions = VersionSplit(timeSource, sessions = sessions, holds = sessionHolds),
         crashes = CrashQuarantine(incarnation.instance, timeSource = timeSource),
         timeSource = timeSource,
         confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
         memberCount = { members.count },
     )
-    private val workExchange = WorkExchange(eventLoop, incarnation, context.endpoints, members, timeSource)
+    private val workExchange =
+        WorkExchange(eventLoop, incarnation, context.endpoints, members, timeSource, sessionHolds)
     private val relayGroup =
         MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("relay", true), NioIoHandler.newFactory())
     private val followed = RelayedStore(platform.store, record, relayGroup.next(), timeSource)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
@@ -4,9 +4,13 @@
 import io.quetzalfield.decision.RolloutTest
 import io.quetzalfield.decision.RolloutVerdict
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** What the holder of the duty does with a roll-out now. */
 public sealed interface ScheduledStep {
+    /** Gives the new version a first [share], which stays as it is until the next one; 0 until it can be told. */
+    public data class FirstShare(val share: Double) : ScheduledStep
+
     /** Gives the new version [share] of the sessions. */
     public data class Share(val share: Double) : ScheduledStep
 
@@ -22,10 +26,8 @@
  *
  * Load pattern: a bad version fails at once, late, under load or on one route only, and may get only a small part of
  * all requests between order and deadline. It therefore stays at a small share for the first half, in which sessions
- * must not change sides either, then grows in two steps, and completes with time to spare.
- *
- * The first step moves the sessions on its share that are under way. Their number grows with the traffic while the
- * judgement needs no more answers than before, so at much traffic the first share gives what is needed and no more.
+ * must not change sides either, then grows in two steps, and completes with time to spare. At much traffic the first
+ * share is smaller: the judgement needs no more answers than at little traffic.
  */
 public class RolloutSchedule(private val test: RolloutTest = RolloutTest()) {
     /**
@@ -38,21 +40,27 @@
         ramp: Duration,
         new: RolloutObservations,
         baseline: RolloutObservations,
-        requestsPerSecond: Double = 0.0,
+        requestsPerSecond: Double,
     ): ScheduledStep {
         val verdict = test.judge(new, baseline)
         val progress = elapsed / ramp
         return when {
             verdict is RolloutVerdict.Harmful -> ScheduledStep.Revert("worse by ${verdict.cause.name.lowercase()}")
-            progress < CANARY_END -> ScheduledStep.Share(canaryShare(requestsPerSecond))
+            progress < CANARY_END -> ScheduledStep.FirstShare(firstShare(requestsPerSecond, progress))
             progress < PARTIAL_END -> ScheduledStep.Share(PARTIAL_SHARE)
             progress < FULL_END -> ScheduledStep.Share(1.0)
             else -> ScheduledStep.Complete
         }
     }
 
-    private fun canaryShare(requestsPerSecond: Double): Double =
-        if (requestsPerSecond * CANARY_SHARE <= CANARY_RATE) CANARY_SHARE else CANARY_RATE / requestsPerSecond
+    /** Time between the announcement of the first share and its gift, in which instances tell of their sessions. */
+    public fun preparation(ramp: Duration): Duration = minOf(LongestPreparation, ramp * PREPARATION_PART)
+
+    private fun firstShare(requestsPerSecond: Double, progress: Double): Double = when {
+        requestsPerSecond <= 0 && progress < TRAFFIC_AWAITED -> 0.0
+        requestsPerSecond * CANARY_SHARE <= CANARY_RATE -> CANARY_SHARE
+        else -> CANARY_RATE / requestsPerSecond
+    }
 
     private companion object {
         /** Requests a second that show a version which fails half of them, within a few seconds. */
@@ -70,6 +78,13 @@
         /** Leaves the partial share about as long as a request lasts. */
         const val PARTIAL_END = 0.7
 
+        /** Part of the ramp for which a first share waits for traffic by which to tell it. */
+        const val TRAFFIC_AWAITED = 0.2
+
+        /** Two periods of the messages between instances. */
+        val LongestPreparation = 2.seconds
+        const val PREPARATION_PART = 0.15
+
         /** Leaves requests on the version before time to end: it stops at once on completion. */
         const val FULL_END = 0.95
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
@@ -77,7 +77,10 @@
 ) {
     private val firstSeen = HashMap<StoreRevision, ComparableTimeMark>()
 
-    /** Takes the next step of each of [orders]. [observations] holds what each instance has seen, by store key. */
+    /** When this instance first saw the announcement of a first share, by the revision of the order. */
+    private val announced = HashMap<StoreRevision, ComparableTimeMark>()
+
+    /** Takes the next step of each of [orders] while this instance holds the duty. */
     public fun work(orders: List<RolloutOrder>) {
         orders.forEach { firstSeen.getOrPut(it.revision) { timeSource.markNow() } }
         if (lease.held == null) return
@@ -116,6 +119,7 @@
             requestsPerSecond = requestsPerSecond(order.service),
         )
         val step = when (scheduled) {
+            is ScheduledStep.FirstShare -> firstStep(order, standing.step, scheduled.share)
             is ScheduledStep.Share -> standing.step.copy(share = maxOf(scheduled.share, standing.step.share))
             is ScheduledStep.Complete -> standing.step.copy(share = 1.0, phase = RolloutPhase.COMPLETE)
             is ScheduledStep.Revert -> standing.step.copy(share = 0.0, phase = RolloutPhase.REVERTED)
@@ -127,6 +131,7 @@
             "target" to order.target.value,
             "phase" to step.phase,
             "share" to step.share,
+            "first_share" to step.firstShare,
             "reason" to (scheduled as? ScheduledStep.Revert)?.reason,
             "new" to new,
             "baseline" to baseline,
@@ -136,6 +141,15 @@
         if (step.phase != RolloutPhase.RUNNING) report(order, key, written, record)
     }
 
+    /** Announces the first share, and gives it once the instances have had time to tell of their sessions. */
+    private fun firstStep(order: RolloutOrder, standing: RolloutStep, share: Double): RolloutStep {
+        if (standing.share > 0) return standing
+        if (standing.firstShare == 0.0) return standing.copy(firstShare = share)
+        val since = announced.getOrPut(order.revision) { timeSource.markNow() }
+        val isPrepared = since.elapsedNow() >= schedule.preparation(order.ramp)
+        return if (isPrepared) standing.copy(share = standing.firstShare) else standing
+    }
+
     private fun report(order: RolloutOrder, key: String, revision: StoreRevision, record: RolloutRecord) {
         if (reports.report(order, record.step.phase)) write(key, revision, record.copy(isReported = true))
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.forwarding.choice.SessionHolds
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.endpoints.EndpointId
@@ -32,6 +33,9 @@
  * In a small fleet each instance tells every other at once. In a larger one it tells the leader of its group; the
  * leaders tell one another the sums of their groups, and their groups the sum of all. What an instance sends and
  * takes then grows with its group and with the number of groups, and not with the number of instances.
+ *
+ * Sessions that are held on a version are told to all at once, and again with each message that shows that this
+ * instance lives.
  */
 internal class WorkExchange(
     private val eventLoop: EventLoop,
@@ -39,6 +43,7 @@
     private val endpoints: EndpointDirectory,
     private val members: Members,
     private val timeSource: TimeSource.WithComparableMarks,
+    private val holds: SessionHolds = SessionHolds(),
 ) {
     private val composer = WorkMessageComposer(own)
     private val ownReport = WorkReport()
@@ -59,6 +64,7 @@
             return
         }
         channel = bound.channel()
+        holds.onHeld = { send(composer.held(listOf(it)), members.peers.keys) }
         eventLoop.repeatEvery(RefreshPeriod, ::refresh)
         schedulePresence()
     }
@@ -91,7 +97,7 @@
         }
     }
 
-    private fun showPresence() = send(listOf(composer.presence()), members.peers.keys)
+    private fun showPresence() = send(composer.held(holds.own) + composer.presence(), members.peers.keys)
 
     /** Tells what [select] takes of the reports to those who need it. */
     private fun tell(select: WorkReport.(Collection<Endpoint>) -> List<EndpointWork>) {
@@ -141,6 +147,7 @@
         newest[message.sender] = message.number
         val now = timeSource.markNow()
         members.noteHeard(message.sender, message.isLeaving, now)
+        message.held.forEach(holds::take)
         // A leader has the sum of all from the same messages as the sender.
         if (message.scope == WorkScope.FLEET && members.leader == own) return
         for (work in message.work) {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.forwarding.fleet
 
 import io.quetzalfield.forwarding.PeerFormat
+import io.quetzalfield.forwarding.choice.HeldSessions
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointId
 import io.quetzalfield.model.Incarnation
@@ -36,6 +37,7 @@
  *
  * @property number grows with every message of [sender], so that one that was overtaken is known.
  * @property isLeaving whether [sender] is ending, so that no more callers should be sent there.
+ * @property held sessions that [sender] holds on the version before.
  */
 @Serializable
 internal data class WorkMessage(
@@ -44,6 +46,7 @@
     val work: List<EndpointWork> = emptyList(),
     val isLeaving: Boolean = false,
     val scope: WorkScope = WorkScope.OWN,
+    val held: List<HeldSessions> = emptyList(),
 ) {
     fun encode(): ByteArray = PeerFormat.encode(serializer(), this)
 
@@ -67,9 +70,17 @@
     /** A message that shows that this instance lives. */
     fun presence(): WorkMessage = WorkMessage(sender, ++number, isLeaving = isLeaving)
 
+    /** Messages that tell [held]. */
+    fun held(held: List<HeldSessions>): List<WorkMessage> = held
+        .flatMap { one -> one.sessions.chunked(MOST_HELD).map { one.copy(sessions = it) } }
+        .map { WorkMessage(sender, ++number, isLeaving = isLeaving, held = listOf(it)) }
+
     private companion object {
         /** About 25 bytes each: a message stays below the 1,500 bytes that a link takes as a whole. */
         const val LARGEST_MESSAGE = 40
+
+        /** Sessions in a message, about 11 bytes each. */
+        const val MOST_HELD = 100
     }
 }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -7,6 +7,7 @@
 import io.quetzalfield.forwarding.choice.FirstAnswer
 import io.quetzalfield.forwarding.choice.Placement
 import io.quetzalfield.forwarding.choice.RolloutPhase
+import io.quetzalfield.forwarding.choice.RolloutSubject
 import io.quetzalfield.forwarding.choice.Work
 import io.quetzalfield.forwarding.configuration.RoutingConfiguration
 import io.quetzalfield.forwarding.endpoints.Endpoint
@@ -137,7 +138,7 @@
 
     private fun finish() {
         isFinished = true
-        sender?.deadlineTimer?.cancel(false)
+        sender?.finished()
         caller.body.release()
         context.openExchanges--
         onFinished()
@@ -147,6 +148,7 @@
     private inner class Sender(private val request: AdmittedRequest) : AttemptOwner {
         private val route = request.route
         private val service = request.service
+        private val subject = RolloutSubject.of(head.session, head.id)
         private val tried = HashSet<Endpoint>()
         private var connectsFailed = 0
         private var model: ModelId? = firstModel()
@@ -154,7 +156,7 @@
         /** Versions whose endpoints failed the request; others go first when it is repeated. */
         private val failedVersions = HashSet<VersionId>()
 
-        val deadlineTimer = context.eventLoop.schedule(request.remaining, ::timeOut)
+        private val deadlineTimer = context.eventLoop.schedule(request.remaining, ::timeOut)
 
         /** The attempt that runs now. */
         var attempt: Attempt? = null
@@ -193,7 +195,6 @@
             context.crashes.hasSuspects && context.crashes.isQuarantined(request.fingerprint)
 
         private fun candidates(): List<Endpoint> {
-            val subject = head.session?.value ?: head.id?.value.orEmpty()
             val eligible = context.endpoints.eligible(service)
             val chosen = context.versions.filter(service, subject, eligible).ofStreamVersion()
             val allowed = if (failedVersions.isEmpty()) chosen else awayFromFailed(chosen, eligible)
@@ -201,11 +202,15 @@
             return fresh.ifEmpty { allowed }.ifEmpty { lastResort(eligible) }
         }
 
-        /** A version that is being rolled out and failed the request does not get it again. */
+        /**
+         * A version that is being rolled out and failed the request does not get it again. Past the first share this
+         * holds for requests outside sessions only, as a session does not go back to the version before.
+         */
         private fun awayFromFailed(chosen: List<Endpoint>, eligible: List<Endpoint>): List<Endpoint> {
             val step = context.versions.stepOf(service)
             val isUnderway = step?.phase == RolloutPhase.RUNNING && step.target in failedVersions
-            if (progress.hasBegun || !isUnderway) return chosen
+            val mayLeave = isUnderway && (!subject.isSession || step.isAtFirstShare)
+            if (progress.hasBegun || !mayLeave) return chosen
             return eligible.filter { it.description.version != step.target }.ifEmpty { chosen }
         }
 
@@ -236,11 +241,26 @@
             }
             attemptsSent++
             runs.sending()
+            noteSession(placement.endpoint)
             val next = Attempt(request, progress, reply, owner = this, placement, connection, model)
             attempt = next
             next.start(attemptsSent)
         }
 
+        private fun noteSession(endpoint: Endpoint) {
+            val session = head.session ?: return
+            val version = endpoint.description.version
+            val before = context.sessions.sent(service, session, version, isRepeat = attemptsSent > 1) ?: return
+            context.metrics.countSessionMove()
+            caller.log("session_moved", "session" to session.value, "from" to before.value, "to" to version.value)
+        }
+
+        /** The request has its final answer. */
+        fun finished() {
+            deadlineTimer.cancel(false)
+            if (attemptsSent > 0) head.session?.let { context.sessions.ended(service, it) }
+        }
+
         private fun Endpoint.isUsable() = isEligible || context.endpoints.eligible(service).isEmpty()
 
         /** Sends the request once more if the route and the budget allow it; says whether it does. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -8,6 +8,7 @@
 import io.quetzalfield.forwarding.choice.LeastWorkPlacement
 import io.quetzalfield.forwarding.choice.ModelCascade
 import io.quetzalfield.forwarding.choice.RetryAllowance
+import io.quetzalfield.forwarding.choice.SessionsUnderWay
 import io.quetzalfield.forwarding.choice.VersionSplit
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
 import io.quetzalfield.forwarding.configuration.Route
@@ -33,7 +34,8 @@
     public val metrics: RouterMetrics,
     public val retryAllowance: RetryAllowance,
     public val connections: EndpointConnections,
-    public val versions: VersionSplit = VersionSplit(),
+    public val sessions: SessionsUnderWay = SessionsUnderWay(),
+    public val versions: VersionSplit = VersionSplit(sessions = sessions),
     public val observer: VersionObserver = VersionObserver(),
     public val placement: EndpointPlacement = LeastWorkPlacement(),
     public val cascade: ModelCascade = ConfidenceCascade(),
--- /dev/null
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/SessionsUnderWayTest.kt
@@ -0,0 +1,54 @@
+package io.quetzalfield.forwarding.choice
+
+import io.quetzalfield.model.ServiceId
+import io.quetzalfield.model.SessionId
+import io.quetzalfield.model.VersionId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+class SessionsUnderWayTest {
+    private val time = TestTimeSource()
+    private val sessions = SessionsUnderWay(time)
+    private val service = ServiceId("advisor")
+    private val old = VersionId("v1")
+    private val new = VersionId("v2")
+    private val session = SessionId("session-1")
+
+    private fun send(version: VersionId, isRepeat: Boolean = false) = sessions.sent(service, session, version, isRepeat)
+
+    @Test
+    fun `a session that changes its version is told with the version before`() {
+        assertNull(send(old))
+        assertNull(send(old))
+        assertEquals(old, send(new, isRepeat = true))
+        assertNull(send(new))
+    }
+
+    @Test
+    fun `a session is under way while it has an open request, and for the longest pause after it`() {
+        send(old)
+        time += 60.seconds
+        assertEquals(listOf(session), sessions.notOn(service, new))
+        assertEquals(emptyList(), sessions.notOn(service, old))
+        sessions.ended(service, session)
+        time += SessionsUnderWay.LongestPause
+        assertEquals(listOf(session), sessions.notOn(service, new))
+        time += 1.milliseconds
+        assertEquals(emptyList(), sessions.notOn(service, new))
+        assertNull(send(new))
+    }
+
+    @Test
+    fun `sessions that ended are forgotten`() {
+        repeat(1_000) {
+            sessions.sent(service, SessionId("session-$it"), old, isRepeat = false)
+            sessions.ended(service, SessionId("session-$it"))
+            time += 1.seconds
+        }
+        assertEquals(true, sessions.size <= 21, "${sessions.size} sessions are kept")
+    }
+}
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/VersionSplitTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/VersionSplitTest.kt
@@ -3,8 +3,12 @@
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.description
 import io.quetzalfield.model.ServiceId
+import io.quetzalfield.model.SessionId
 import io.quetzalfield.model.VersionId
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -22,8 +26,10 @@
     private fun step(share: Double, phase: RolloutPhase = RolloutPhase.RUNNING, revision: Long = 7) =
         RolloutStep(service, VersionId("v2"), revision, phase, share)
 
-    private fun versionsOf(subject: String, candidates: List<Endpoint> = old + new) =
-        split.filter(service, subject, candidates).map { it.description.version.value }.toSet()
+    private fun versionsOf(session: String, candidates: List<Endpoint> = old + new) =
+        split.filter(service, RolloutSubject(session, isSession = true), candidates).map {
+            it.description.version.value
+        }.toSet()
 
     private fun newShare(): Double = (1..2_000).count { versionsOf("session-$it") == setOf("v2") } / 2_000.0
 
@@ -65,6 +71,96 @@
         }
     }
 
+    /**
+     * Load pattern: sessions are under way at all instances as the first share is given, and go on at any of them; the
+     * steps reach the instances one after the other.
+     */
+    @Nested
+    inner class SessionsUnderWayAtManyInstances {
+        private inner class Instance {
+            val sessions = SessionsUnderWay(timeSource)
+            val holds = SessionHolds()
+            val split = VersionSplit(timeSource, sessions = sessions, holds = holds)
+
+            fun send(session: String): VersionId {
+                val version = split.filter(service, RolloutSubject(session, isSession = true), old + new)
+                    .map { it.description.version }.distinct().single()
+                sessions.sent(service, SessionId(session), version, isRepeat = false)
+                sessions.ended(service, SessionId(session))
+                return version
+            }
+        }
+
+        private val instances = List(24) { Instance() }.also { all ->
+            for (one in all) one.holds.onHeld = { held -> all.forEach { if (it !== one) it.holds.take(held) } }
+        }
+
+        private fun step(share: Double, firstShare: Double) =
+            RolloutStep(service, VersionId("v2"), 7, RolloutPhase.RUNNING, share, firstShare)
+
+        /** Sends of random sessions of [names] at random instances; counts those that changed their version. */
+        private fun Random.play(sends: Int, names: Int, versions: MutableMap<String, VersionId>): Int =
+            (1..sends).count {
+                timeSource += 3.milliseconds
+                val session = "session-${nextInt(names)}"
+                val version = instances.random(this).send(session)
+                versions.put(session, version).let { it != null && it != version }
+            }
+
+        @ParameterizedTest
+        @ValueSource(ints = [1, 2, 3, 4, 5, 6, 7, 8])
+        fun `no session changes its version in the first half`(seed: Int) {
+            val random = Random(seed)
+            val versions = HashMap<String, VersionId>()
+            instances.forEach { it.split.takeOrder(service, VersionId("v2"), 7) }
+            var moved = random.play(1_000, 500, versions)
+            for (one in instances) {
+                one.split.takeStep(step(share = 0.0, firstShare = 0.1))
+                moved += random.play(5, 500, versions)
+            }
+            // New sessions come while the share is announced and while it is given.
+            moved += random.play(600, 800, versions)
+            instances.forEach { it.split.takeStep(step(share = 0.1, firstShare = 0.1)) }
+            moved += random.play(2_000, 2_000, versions)
+            assertEquals(0, moved)
+            assertTrue(versions.values.count { it == VersionId("v2") } > 50, "the new version is tried")
+        }
+
+        @Test
+        fun `sessions that were held go to the new version as the share grows`() {
+            val names = (1..2_000).map { "session-$it" }
+            instances.forEach { it.split.takeOrder(service, VersionId("v2"), 7) }
+            names.forEach { instances.random(Random(1)).send(it) }
+            instances.forEach { it.split.takeStep(step(share = 0.0, firstShare = 0.1)) }
+            instances.forEach { it.split.takeStep(step(share = 0.1, firstShare = 0.1)) }
+            assertTrue(names.all { instances.last().send(it) == VersionId("v1") })
+            instances.forEach { it.split.takeStep(step(share = 1.0, firstShare = 0.1)) }
+            assertTrue(names.all { instances.last().send(it) == VersionId("v2") })
+        }
+
+        @Test
+        fun `a session that comes before the new version's endpoints are known is held`() {
+            val one = instances.first()
+            one.split.takeOrder(service, VersionId("v2"), 7)
+            one.split.takeStep(step(share = 0.0, firstShare = 1.0))
+            val subject = RolloutSubject("session-1", isSession = true)
+            one.split.filter(service, subject, old)
+            instances.last().split.takeOrder(service, VersionId("v2"), 7)
+            instances.last().split.takeStep(step(share = 1.0, firstShare = 1.0))
+            assertEquals(VersionId("v1"), instances.last().send("session-1"))
+        }
+
+        @Test
+        fun `holds of another order say nothing`() {
+            val one = instances.first()
+            one.split.takeOrder(service, VersionId("v2"), 7)
+            one.split.takeStep(step(share = 1.0, firstShare = 1.0))
+            val hash = RolloutSubject("session-1", isSession = true).hash
+            one.holds.take(HeldSessions(service, orderRevision = 6, listOf(hash)))
+            assertEquals(VersionId("v2"), one.send("session-1"))
+        }
+    }
+
     @Nested
     inner class Ended {
         @Test
--- /dev/null
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/RolloutDutyTest.kt
@@ -0,0 +1,99 @@
+package io.quetzalfield.forwarding.fleet
+
+import io.quetzalfield.forwarding.choice.RolloutPhase
+import io.quetzalfield.forwarding.choice.RolloutStep
+import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.ServiceId
+import io.quetzalfield.model.VersionId
+import io.quetzalfield.store.DutyLease
+import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.fakes.InMemoryKeyValueStore
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+class RolloutDutyTest {
+    private val time = TestTimeSource()
+    private val store = InMemoryKeyValueStore(time)
+    private val order = RolloutOrder(ServiceId("advisor"), VersionId("v2"), ramp = 24.seconds, StoreRevision(7))
+    private val reports = mutableListOf<Pair<Duration, RolloutPhase>>()
+    private val start = time.markNow()
+    private var requestsPerSecond = 300.0
+
+    private inner class Holder(name: String) {
+        private val incarnation = Incarnation(InstanceId(name), "1")
+        private val lease = DutyLease(store, "version-rollouts", incarnation, 3.seconds, 500.milliseconds, time)
+        private val duty = RolloutDuty(
+            store = store,
+            lease = lease,
+            reports = { _, phase -> reports.add(start.elapsedNow() to phase) },
+            timeSource = time,
+            requestsPerSecond = { requestsPerSecond },
+        )
+
+        fun work() {
+            lease.renew()
+            duty.work(listOf(order))
+        }
+    }
+
+    private val step: RolloutStep?
+        get() = store.read(FleetKeys.step(order.service)).getOrNull()
+            ?.let { PlatformJson.decodeFromString(RolloutRecord.serializer(), it.value).step }
+
+    /** Lets [holder] work once a period until [end] and tells the shares that it gave. */
+    private fun work(holder: Holder, end: Duration): List<Double> = buildList {
+        while (start.elapsedNow() < end) {
+            time += Period
+            holder.work()
+            add(step?.share ?: 0.0)
+        }
+    }
+
+    /** Load pattern: the traffic swings, and the share that it would give with it; each growth moves sessions. */
+    @Test
+    fun `the first share stays as it is while the traffic changes`() {
+        val holder = Holder("front-1")
+        val shares = work(holder, 4.seconds).toSet() + (1..8).flatMap {
+            requestsPerSecond -= 20
+            work(holder, 4.seconds + 1.seconds * it)
+        }
+        assertEquals(2, shares.size, "the first share, and nothing before it: $shares")
+    }
+
+    @Test
+    fun `the first share is announced for a while before it is given`() {
+        val holder = Holder("front-1")
+        work(holder, 1_600.milliseconds)
+        val announced = checkNotNull(step)
+        assertEquals(0.0, announced.share)
+        assertTrue(announced.firstShare > 0)
+        work(holder, 3.seconds)
+        assertEquals(0.0, step?.share)
+        work(holder, 5.seconds)
+        assertEquals(announced.firstShare, step?.share)
+    }
+
+    @Test
+    fun `a new holder gives the share that was announced, after a time of its own`() {
+        work(Holder("front-1"), 1_600.milliseconds)
+        val announced = checkNotNull(step).firstShare
+        requestsPerSecond = 50.0
+        time += 4.seconds
+        val next = Holder("front-2")
+        next.work()
+        assertEquals(0.0, step?.share)
+        work(next, start.elapsedNow() + 3.seconds)
+        assertEquals(announced, step?.share)
+    }
+
+    private companion object {
+        val Period = 840.milliseconds
+    }
+}
