Judge the pace of an answer by its middle pause

Cause: the mean of the first four pauses holds the prompts that an endpoint reads between two events, which lasts as long as ten pauses. The middle one of five does not, and the bound can be four times the usual pause. Ruled out: late first events, 4 of 23 slow healthy answers.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/SpeedWatch.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/SpeedWatch.kt
@@ -1,8 +1,8 @@
 package io.quetzalfield.forwarding.http
 
 import io.netty.util.concurrent.ScheduledFuture
-import io.quetzalfield.forwarding.choice.AnswerPace
 import io.quetzalfield.forwarding.choice.PaceKey
+import io.quetzalfield.forwarding.choice.PauseJudge
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.ModelId
@@ -22,45 +22,33 @@
     /** Versions are compared only while both get requests, and endpoints that have just started are slow by nature. */
     private val isCompared =
         context.versions.isComparing(request.service) && endpoint.description.coldFor == Duration.ZERO
-    private var firstEventAt: ComparableTimeMark? = null
-    private var pauses = 0
+    private val pauses = PauseJudge(context.pace.longPause(key))
+    private var lastEventAt: ComparableTimeMark? = null
     private var isJudged = false
-    private var timer: ScheduledFuture<*>? = null
+    private var startTimer: ScheduledFuture<*>? = null
 
     /** The request has been sent. */
     fun start() {
-        if (isCompared && route.isStream) timer = context.eventLoop.schedule(route.objective) { judge(isSlow = true) }
+        if (!isCompared || !route.isStream) return
+        startTimer = context.eventLoop.schedule(route.objective) { judge(isSlow = true) }
     }
 
     /** An event has come. */
     fun eventCame() {
         if (isJudged) return
-        val first = firstEventAt
-        if (first == null) {
-            firstEventAt = context.timeSource.markNow()
-            awaitPauses()
-        } else if (++pauses == AnswerPace.JUDGED_PAUSES) {
-            judgePauses(first.elapsedNow())
-        }
-    }
-
-    /** Once the first event has come, pauses that last too long are known before they end. */
-    private fun awaitPauses() {
-        timer?.cancel(false)
-        val slowPause = context.pace.slowPause(key) ?: return
-        if (!isCompared) return
-        timer = context.eventLoop.schedule(slowPause * AnswerPace.JUDGED_PAUSES) { judge(isSlow = true) }
+        val now = context.timeSource.markNow()
+        val before = lastEventAt
+        if (before == null) startTimer?.cancel(false) else pauses.note(now - before)
+        lastEventAt = now
+        if (pauses.isComplete || pauses.isSlow) judgePauses()
     }
 
     /** The answer is whole. */
     fun answerIsWhole() {
-        val first = firstEventAt
-        when {
-            isJudged -> return
-            !route.isStream -> judge(isSlow = startedAt.elapsedNow() > route.objective)
-            first == null || pauses == 0 -> judge(isSlow = false)
-            else -> judgePauses(first.elapsedNow())
-        }
+        if (isJudged) return
+        if (!route.isStream) return judge(isSlow = startedAt.elapsedNow() > route.objective)
+        pauses.end()
+        judgePauses()
     }
 
     /** The attempt is given up as its answer does not come. */
@@ -69,14 +57,12 @@
     /** Nothing more is to be judged. */
     fun close() {
         isJudged = true
-        timer?.cancel(false)
+        startTimer?.cancel(false)
     }
 
-    private fun judgePauses(elapsed: Duration) {
-        val pause = elapsed / pauses
-        val slowPause = context.pace.slowPause(key)
-        if (!isOfTarget()) context.pace.note(key, pause)
-        judge(isSlow = slowPause != null && pause > slowPause)
+    private fun judgePauses() {
+        if (!isOfTarget()) pauses.middle?.let { context.pace.note(key, it) }
+        judge(pauses.isSlow)
     }
 
     private fun isOfTarget() = context.versions.stepOf(request.service)?.target == endpoint.description.version
