Repeat periodic tasks of the event loops after an unexpected error

An error that left such a task ended its repetition: the relay's tick, the exchange of work. One guard serves these and the duties.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/EventLoopTasks.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/EventLoopTasks.kt
@@ -11,5 +11,16 @@
 
 /** Runs [task] again and again, [period] after the end of the run before; first after [period]. */
 internal fun EventLoop.repeatEvery(period: Duration, task: () -> Unit) {
-    scheduleWithFixedDelay(task, period.inWholeMilliseconds, period.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    val delay = period.inWholeMilliseconds
+    scheduleWithFixedDelay(surviving(task), delay, delay, TimeUnit.MILLISECONDS)
+}
+
+/** [task] with its errors logged: an error that leaves a periodic task would end its repetition. */
+@Suppress("TooGenericExceptionCaught") // Whatever fails once must not end the repetition.
+internal fun surviving(task: () -> Unit): Runnable = Runnable {
+    try {
+        task()
+    } catch (error: RuntimeException) {
+        DecisionLog.write("periodic_task_failed", "reason" to error)
+    }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -225,15 +225,7 @@
     )
 
     private fun every(period: Duration, task: () -> Unit) {
-        val guarded = Runnable {
-            @Suppress("TooGenericExceptionCaught") // Whatever fails once must not end the repetition.
-            try {
-                task()
-            } catch (error: RuntimeException) {
-                DecisionLog.write("periodic_task_failed", "reason" to error)
-            }
-        }
-        scheduler.scheduleWithFixedDelay(guarded, 0, period.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        scheduler.scheduleWithFixedDelay(surviving(task), 0, period.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     public companion object {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -92,8 +92,9 @@
 
     private fun schedulePresence() {
         eventLoop.schedule(members.presencePeriod) {
-            showPresence()
+            // First, as an error of the message would end the repetition.
             schedulePresence()
+            showPresence()
         }
     }
 
