--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
@@ -53,15 +53,23 @@
         val verdict = test.judge(new, baseline, Expected)
         val doubtful = doubt.judge(new, baseline, Expected) as? RolloutVerdict.Harmful
         val isUnknown = doubtful != null || new.timed < FEWEST_TIMED
+        val isEnding = ramp - elapsed < completionMargin(ramp)
         val progress = elapsed / ramp
         return when {
             verdict is RolloutVerdict.Harmful -> ScheduledStep.Revert("worse by ${verdict.cause.name.lowercase()}")
+
             progress < CANARY_END -> ScheduledStep.FirstShare(firstShare(requestsPerSecond, progress))
+
             progress < PARTIAL_END -> ScheduledStep.Share(PARTIAL_SHARE)
+
             progress < LATEST_PARTIAL_END && isUnknown && share < 1 -> ScheduledStep.Share(PARTIAL_SHARE)
-            doubtful != null && share < 1 -> ScheduledStep.Revert("doubtful by ${doubtful.cause.name.lowercase()}")
-            ramp - elapsed >= completionMargin(ramp) -> ScheduledStep.Share(1.0)
-            else -> ScheduledStep.Complete
+
+            doubtful != null && (share < 1 || isEnding) ->
+                ScheduledStep.Revert("doubtful by ${doubtful.cause.name.lowercase()}")
+
+            isEnding -> ScheduledStep.Complete
+
+            else -> ScheduledStep.Share(1.0)
         }
     }
 
@@ -95,8 +103,8 @@
         /** Few answers of a healthy version take several times the usual pause, or start after their objective. */
         val Expected = ExpectedRates(slowRate = 0.02)
 
-        /** Bound on the probability that a healthy version is held back, and in the end taken back, by a doubt. */
-        const val DOUBT_PROBABILITY = 0.2
+        /** The evidence of a doubt: a tenth of it is what errors and speed may spend each. */
+        const val DOUBT_PROBABILITY = 1.0
 
         /** Until then the partial share is kept if the version is doubtful or little is known of its speed. */
         const val LATEST_PARTIAL_END = 0.8
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/SpeedWatch.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/SpeedWatch.kt
@@ -25,12 +25,12 @@
     private val pauses = PauseJudge(context.pace.longPause(key))
     private var lastEventAt: ComparableTimeMark? = null
     private var isJudged = false
-    private var startTimer: ScheduledFuture<*>? = null
+    private var timer: ScheduledFuture<*>? = null
 
     /** The request has been sent. */
     fun start() {
         if (!isCompared || !route.isStream) return
-        startTimer = context.eventLoop.schedule(route.objective) { judge(isSlow = true) }
+        timer = context.eventLoop.schedule(route.objective) { judge(isSlow = true) }
     }
 
     /** An event has come. */
@@ -38,11 +38,18 @@
         if (isJudged) return
         val now = context.timeSource.markNow()
         val before = lastEventAt
-        if (before == null) startTimer?.cancel(false) else pauses.note(now - before)
+        if (before == null) awaitPauses() else pauses.note(now - before)
         lastEventAt = now
         if (pauses.isComplete || pauses.isSlow) judgePauses()
     }
 
+    private fun awaitPauses() {
+        timer?.cancel(false)
+        val patience = pauses.patience
+        if (!isCompared || patience == null) return
+        timer = context.eventLoop.schedule(patience) { if (pauses.isOverdue) judge(isSlow = true) }
+    }
+
     /** The answer is whole. */
     fun answerIsWhole() {
         if (isJudged) return
@@ -57,7 +64,7 @@
     /** Nothing more is to be judged. */
     fun close() {
         isJudged = true
-        startTimer?.cancel(false)
+        timer?.cancel(false)
     }
 
     private fun judgePauses() {
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/AnswerPaceTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/AnswerPaceTest.kt
@@ -69,6 +69,14 @@
             assertFalse(judge().apply { end() }.isSlow)
         }
 
+        /** Load pattern: a slow answer's first pause alone takes as long as five long ones. */
+        @Test
+        fun `an answer of which too few events have come in time is overdue`() {
+            assertEquals(400.milliseconds, judge().patience)
+            assertTrue(judge(600, 20).isOverdue)
+            assertFalse(judge(600, 20, 20).isOverdue)
+        }
+
         @Test
         fun `without a usual pause nothing is slow`() {
             val judge = PauseJudge(longPause = null)
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutScheduleTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutScheduleTest.kt
@@ -79,6 +79,7 @@
         assertIs<ScheduledStep.Revert>(next(20.seconds, doubtful))
         val full = schedule.next(20.seconds, 24.seconds, doubtful, healthy, 20.0, share = 1.0)
         assertEquals(ScheduledStep.Share(1.0), full)
+        assertIs<ScheduledStep.Revert>(schedule.next(23.seconds, 24.seconds, doubtful, healthy, 20.0, share = 1.0))
     }
 
     /** The pattern: half of the new version's requests are several times slower, and none fails. */
