Give more requests to a new version at its first share, and wait longer for the pauses of an answer

The bound on a few pauses is twice as long, and the first share lets five requests a second through, and 0.15 of the sessions at most.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/AnswerPace.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/AnswerPace.kt
@@ -65,9 +65,9 @@
     private val longPauses: Int get() = pauses.count { longPause != null && it > longPause }
 
     /** Time after the first event at which [isOverdue] tells; `null` when no pause is known to be long. */
-    public val patience: Duration? get() = longPause?.let { it * JUDGED_PAUSES }
+    public val patience: Duration? get() = longPause?.let { it * (JUDGED_PAUSES * 2) }
 
-    /** Whether fewer than half of the pauses have come; slow once all of them could have come, had all been long. */
+    /** Whether fewer than half of the pauses have come, which is slow after [patience]. */
     public val isOverdue: Boolean get() = pauses.size <= JUDGED_PAUSES / 2
 
     /** Notes one more pause. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
@@ -85,11 +85,11 @@
     private fun completionMargin(ramp: Duration) = minOf(CompletionMargin, ramp * COMPLETION_PART)
 
     private companion object {
-        /** Requests a second that show a version which fails half of them, within a few seconds. */
-        const val CANARY_RATE = 2.5
+        /** Requests a second that show a version which fails or slows half of them, within a few seconds. */
+        const val CANARY_RATE = 5.0
 
-        /** Below the part of requests that a bad version may get over a whole roll-out. */
-        const val CANARY_SHARE = 0.08
+        /** Over a first half, two thirds of the part of requests that a bad version may get over a whole roll-out. */
+        const val CANARY_SHARE = 0.15
 
         /** A step at which faults that only load shows become visible. */
         const val PARTIAL_SHARE = 0.3
