--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
@@ -1,7 +1,6 @@
 package io.quetzalfield.forwarding.choice
 
 import io.quetzalfield.decision.ExpectedRates
-import io.quetzalfield.decision.RolloutLimits
 import io.quetzalfield.decision.RolloutObservations
 import io.quetzalfield.decision.RolloutTest
 import io.quetzalfield.decision.RolloutVerdict
@@ -29,13 +28,10 @@
  * Load pattern: a bad version fails at once, late, under load or on one route only, and may get only a small part of
  * all requests between order and deadline. It therefore stays at a small share for the first half, in which sessions
  * must not change sides either, then grows in two steps, and completes with time to spare. At much traffic the first
- * share is smaller: the judgement needs no more answers than at little traffic. The full share is not given while there
- * is doubt, which takes less evidence than to take the version back at once.
+ * share is smaller: the judgement needs no more answers than at little traffic. No more is given while there is
+ * doubt, which takes less evidence than to take the version back at once.
  */
-public class RolloutSchedule(
-    private val test: RolloutTest = RolloutTest(),
-    private val doubt: RolloutTest = RolloutTest(RolloutLimits(falseStopProbability = DOUBT_PROBABILITY)),
-) {
+public class RolloutSchedule(private val test: RolloutTest = RolloutTest()) {
     /**
      * The step at [elapsed] after the order of a roll-out that shall last [ramp].
      *
@@ -51,8 +47,9 @@
         share: Double = 0.0,
     ): ScheduledStep {
         val verdict = test.judge(new, baseline, Expected)
-        val doubtful = doubt.judge(new, baseline, Expected) as? RolloutVerdict.Harmful
-        val isUnknown = doubtful != null || new.timed < FEWEST_TIMED
+        val doubt = RolloutDoubt.of(new, baseline)
+        val isUnknown = doubt != null || new.timed < FEWEST_TIMED
+        val partial = ScheduledStep.Share(if (doubt == null) PARTIAL_SHARE else share)
         val isEnding = ramp - elapsed < completionMargin(ramp)
         val progress = elapsed / ramp
         return when {
@@ -60,12 +57,12 @@
 
             progress < CANARY_END -> ScheduledStep.FirstShare(firstShare(requestsPerSecond, progress))
 
-            progress < PARTIAL_END -> ScheduledStep.Share(PARTIAL_SHARE)
+            progress < PARTIAL_END -> partial
 
-            progress < LATEST_PARTIAL_END && isUnknown && share < 1 -> ScheduledStep.Share(PARTIAL_SHARE)
+            progress < LATEST_PARTIAL_END && isUnknown && share < 1 -> partial
 
-            doubtful != null && (share < 1 || isEnding) ->
-                ScheduledStep.Revert("doubtful by ${doubtful.cause.name.lowercase()}")
+            doubt != null && (share < 1 || isEnding) ->
+                ScheduledStep.Revert("doubtful by ${doubt.name.lowercase()}")
 
             isEnding -> ScheduledStep.Complete
 
@@ -103,9 +100,6 @@
         /** Few answers of a healthy version take several times the usual pause, or start after their objective. */
         val Expected = ExpectedRates(slowRate = 0.02)
 
-        /** The evidence of a doubt: a tenth of it is what errors and speed may spend each. */
-        const val DOUBT_PROBABILITY = 1.0
-
         /** Until then the partial share is kept if the version is doubtful or little is known of its speed. */
         const val LATEST_PARTIAL_END = 0.8
 
--- /dev/null
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutDoubtTest.kt
@@ -0,0 +1,40 @@
+package io.quetzalfield.forwarding.choice
+
+import io.quetzalfield.decision.RolloutObservations
+import io.quetzalfield.decision.StopCause
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class RolloutDoubtTest {
+    private fun speed(slow: Long, timed: Long) = RolloutObservations(answers = timed, slow = slow, timed = timed)
+
+    /** The pattern: a version that slows half of its requests, as played in 15 s at 20 requests a second. */
+    @ParameterizedTest
+    @CsvSource("6, 24, 9, 151", "8, 29, 9, 170", "8, 24, 10, 147", "10, 27, 12, 169")
+    fun `a slow version is doubtful after few answers`(slow: Long, timed: Long, usualSlow: Long, usualTimed: Long) {
+        assertEquals(StopCause.LATENCY, RolloutDoubt.of(speed(slow, timed), speed(usualSlow, usualTimed)))
+    }
+
+    @Test
+    fun `a version that fails often is doubtful, and a few failures of any are not`() {
+        val usual = RolloutObservations(answers = 200, errors = 4)
+        assertEquals(StopCause.ERRORS, RolloutDoubt.of(RolloutObservations(answers = 20, errors = 5), usual))
+        assertNull(RolloutDoubt.of(RolloutObservations(answers = 4, errors = 4), usual))
+        assertNull(RolloutDoubt.of(RolloutObservations(answers = 60, errors = 5), usual))
+    }
+
+    @Test
+    fun `a version as good as the one before is rarely doubtful, also where a tenth is slow`() {
+        val random = Random(1)
+        val doubtful = (1..2_000).count {
+            val slow = (1..25).count { random.nextDouble() < 0.1 }.toLong()
+            RolloutDoubt.of(speed(slow, 25), speed(20, 200)) != null
+        }
+        assertTrue(doubtful < 20, "$doubtful of 2000 are doubtful")
+    }
+}
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutScheduleTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutScheduleTest.kt
@@ -74,8 +74,12 @@
     @Test
     fun `a doubtful version waits for the full share, and is taken back if the doubt stays`() {
         val doubtful = RolloutObservations(answers = 40, slow = 8, timed = 25)
-        assertEquals(ScheduledStep.Share(0.3), next(14.seconds, doubtful))
-        assertEquals(ScheduledStep.Share(0.3), next(19.seconds, doubtful))
+        for (elapsed in listOf(14.seconds, 19.seconds)) {
+            val step = schedule.next(elapsed, 24.seconds, doubtful, healthy, 20.0, share = 0.3)
+            assertEquals(ScheduledStep.Share(0.3), step)
+        }
+        val early = schedule.next(14.seconds, 24.seconds, doubtful, healthy, 20.0, share = 0.15)
+        assertEquals(ScheduledStep.Share(0.15), early)
         assertIs<ScheduledStep.Revert>(next(20.seconds, doubtful))
         val full = schedule.next(20.seconds, 24.seconds, doubtful, healthy, 20.0, share = 1.0)
         assertEquals(ScheduledStep.Share(1.0), full)
