Ask for more judged answers before a version gets everything

Now four make one, and the full share asks for 30 judged answers while there is time. RolloutDoubtTest has the counts; its bound on healthy versions holds.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutDoubt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutDoubt.kt
@@ -28,7 +28,7 @@
     }
 
     /** Bad answers that are no accident. */
-    private const val FEWEST_BAD = 5
+    private const val FEWEST_BAD = 4
 
     /** A new version has cold endpoints, and its share of bad answers is told from few. */
     private const val TIMES_USUAL = 2
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
@@ -104,7 +104,7 @@
         const val LATEST_PARTIAL_END = 0.8
 
         /** Judged answers that show a version which answers half of its requests several times slower. */
-        const val FEWEST_TIMED = 20
+        const val FEWEST_TIMED = 30
 
         /** Part of the ramp for which a first share waits for traffic by which to tell it. */
         const val TRAFFIC_AWAITED = 0.2
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutDoubtTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutDoubtTest.kt
@@ -15,7 +15,7 @@
 
     /** The pattern: a version that slows half of its requests, as played in 15 s at 20 requests a second. */
     @ParameterizedTest
-    @CsvSource("6, 24, 9, 151", "8, 29, 9, 170", "8, 24, 10, 147", "10, 27, 12, 169")
+    @CsvSource("4, 20, 4, 135", "6, 24, 9, 151", "8, 29, 9, 170", "8, 24, 10, 147", "10, 27, 12, 169")
     fun `a slow version is doubtful after few answers`(slow: Long, timed: Long, usualSlow: Long, usualTimed: Long) {
         assertEquals(StopCause.LATENCY, RolloutDoubt.of(speed(slow, timed), speed(usualSlow, usualTimed)))
     }
@@ -24,7 +24,7 @@
     fun `a version that fails often is doubtful, and a few failures of any are not`() {
         val usual = RolloutObservations(answers = 200, errors = 4)
         assertEquals(StopCause.ERRORS, RolloutDoubt.of(RolloutObservations(answers = 20, errors = 5), usual))
-        assertNull(RolloutDoubt.of(RolloutObservations(answers = 4, errors = 4), usual))
+        assertNull(RolloutDoubt.of(RolloutObservations(answers = 3, errors = 3), usual))
         assertNull(RolloutDoubt.of(RolloutObservations(answers = 60, errors = 5), usual))
     }
 
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutScheduleTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutScheduleTest.kt
@@ -67,7 +67,7 @@
         assertEquals(ScheduledStep.Share(0.3), next(17.seconds, little))
         assertEquals(ScheduledStep.Share(0.3), next(19.seconds, little))
         assertEquals(ScheduledStep.Share(1.0), next(20.seconds, little))
-        assertEquals(ScheduledStep.Share(1.0), next(17.seconds, little.copy(timed = 20)))
+        assertEquals(ScheduledStep.Share(1.0), next(17.seconds, little.copy(timed = 30)))
     }
 
     /** The pattern: a slow version has answered too few requests to be taken back at once. */
