Report a roll-out as running before its next step is taken

Found by reading the change once more: since the first share is announced in the period in which the order is first worked on, an order that was taken up after its time was reported complete and then running, which operators would have gone on seeing. RolloutDutyTest, an order that is taken up after its time, failed before ([COMPLETE, RUNNING]) and passes.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
@@ -113,8 +113,9 @@
         val step = RolloutStep(order.service, order.target, order.revision.value, RolloutPhase.RUNNING, share = 0.0)
         val record = RolloutRecord(step, clock.now().toEpochMilliseconds())
         val written = write(key, revision, record) ?: return
-        proceed(order, key, written, record)
+        // First, as the next step may be the last one, with a report of its own.
         reports.report(order, RolloutPhase.RUNNING)
+        proceed(order, key, written, record)
     }
 
     private fun proceed(order: RolloutOrder, key: String, revision: StoreRevision, standing: RolloutRecord) {
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/RolloutDutyTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/RolloutDutyTest.kt
@@ -105,6 +105,15 @@
         assertTrue(at in 21.5.seconds..(order.ramp - 500.milliseconds), "reported after $at")
     }
 
+    /** Load pattern: nobody held the duty while the time of the order passed. */
+    @Test
+    fun `an order that is taken up after its time is last reported as what became of it`() {
+        val holder = Holder("front-1").also { it.see() }
+        time += order.ramp
+        holder.work()
+        assertEquals(listOf(RolloutPhase.RUNNING, RolloutPhase.COMPLETE), reports.map { it.second })
+    }
+
     private companion object {
         val Period = 840.milliseconds
     }
