Ask in one place whether a roll-out is running, and do nothing on a step that is known

Found by reading the change once more. Three places asked for a step and its phase apart; SpeedWatch forgot the phase, so after a completed roll-out the pace of the new version was not noted, and the next roll-out would have been compared with the pace of the version before it. VersionSplit.runningStepOf serves all three; stepOf, which nothing calls any more, is gone.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/VersionSplit.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/VersionSplit.kt
@@ -67,12 +67,13 @@
     private val firstSeen = HashMap<Pair<ServiceId, VersionId>, ComparableTimeMark>()
     private val orders = HashMap<ServiceId, Pair<VersionId, Long>>()
 
-    /** The step that [service] is at; `null` without a roll-out. */
-    public fun stepOf(service: ServiceId): RolloutStep? = steps[service]
+    /** The step of a roll-out of [service] that has not ended; `null` without one. */
+    public fun runningStepOf(service: ServiceId): RolloutStep? =
+        steps[service]?.takeIf { it.phase == RolloutPhase.RUNNING }
 
     /** Whether two versions of [service] get requests at the same time, so that they can be compared. */
     public fun isComparing(service: ServiceId): Boolean =
-        steps[service]?.let { it.phase == RolloutPhase.RUNNING && it.share > 0 && it.share < 1 } ?: false
+        runningStepOf(service)?.let { it.share > 0 && it.share < 1 } ?: false
 
     /** The target and revision of the operator's order for [service]. */
     public fun orderOf(service: ServiceId): Pair<VersionId, Long>? = orders[service]
@@ -88,9 +89,10 @@
         if (standing != null && standing.orderRevision > step.orderRevision) return false
         val isSettled = standing != null && standing.phase != RolloutPhase.RUNNING
         if (standing?.orderRevision == step.orderRevision && isSettled) return false
+        if (standing == step) return false
         steps[step.service] = step
         if (step.isAtFirstShare) holdSessions(step) else holds.release(step.service)
-        return standing != step
+        return true
     }
 
     /** Holds the sessions in the first share that this instance has on other versions. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -6,7 +6,6 @@
 import io.quetzalfield.forwarding.RepeatReason
 import io.quetzalfield.forwarding.choice.FirstAnswer
 import io.quetzalfield.forwarding.choice.Placement
-import io.quetzalfield.forwarding.choice.RolloutPhase
 import io.quetzalfield.forwarding.choice.RolloutSubject
 import io.quetzalfield.forwarding.choice.Work
 import io.quetzalfield.forwarding.configuration.RoutingConfiguration
@@ -207,9 +206,8 @@
          * holds for requests outside sessions only, as a session does not go back to the version before.
          */
         private fun awayFromFailed(chosen: List<Endpoint>, eligible: List<Endpoint>): List<Endpoint> {
-            val step = context.versions.stepOf(service)
-            val isUnderway = step?.phase == RolloutPhase.RUNNING && step.target in failedVersions
-            val mayLeave = isUnderway && (!subject.isSession || step.isAtFirstShare)
+            val step = context.versions.runningStepOf(service)?.takeIf { it.target in failedVersions } ?: return chosen
+            val mayLeave = !subject.isSession || step.isAtFirstShare
             if (progress.hasBegun || !mayLeave) return chosen
             return eligible.filter { it.description.version != step.target }.ifEmpty { chosen }
         }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/SpeedWatch.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/SpeedWatch.kt
@@ -72,7 +72,7 @@
         judge(pauses.isSlow)
     }
 
-    private fun isOfTarget() = context.versions.stepOf(request.service)?.target == endpoint.description.version
+    private fun isOfTarget() = context.versions.runningStepOf(request.service)?.target == endpoint.description.version
 
     private fun judge(isSlow: Boolean) {
         if (isJudged) return
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/VersionSplitTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/VersionSplitTest.kt
@@ -12,6 +12,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TestTimeSource
@@ -179,6 +180,17 @@
             assertFalse(split.takeStep(step(0.3)))
         }
 
+        /** The pace of a completed version is the usual one that the next roll-out is compared with. */
+        @Test
+        fun `a version whose roll-out has ended is not being rolled out`() {
+            split.takeOrder(service, VersionId("v2"), 7)
+            split.takeStep(step(0.3))
+            assertEquals(step(0.3), split.runningStepOf(service))
+            split.takeStep(step(1.0, RolloutPhase.COMPLETE))
+            assertNull(split.runningStepOf(service))
+            assertFalse(split.isComparing(service))
+        }
+
         @Test
         fun `a completed version gets everything`() {
             split.takeOrder(service, VersionId("v2"), 7)
