Log and count the limits that endpoints name in their answers

An endpoint in need names in Server-Limit the requests a second that it takes from all instances together.

A value that is not one plain decimal number is logged, counted, and changes nothing. The end of a limit is taken from signed responses only, as others may not be the endpoint's own.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.quetzalfield.forwarding.endpoints.LimitChange
 import io.quetzalfield.forwarding.http.AnswerReason
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -26,6 +27,11 @@
     private val sessionMoves = Counter.builder().name("quetzalfield_session_moves_total")
         .help("Requests sent to another version than the one before in their session at this instance")
         .register(registry)
+    private val limitChanges = Counter.builder().name("quetzalfield_endpoint_limit_changes_total")
+        .help("Limits on requests that endpoints named, changed or ended in their answers").labelNames("change")
+        .register(registry)
+    private val malformedStatements = Counter.builder().name("quetzalfield_malformed_statements_total")
+        .help("Answers in which an endpoint's statement about itself could not be decoded").register(registry)
     private val duration = Histogram.builder().name("quetzalfield_answer_seconds")
         .help("Time from the whole request to the final answer").register(registry)
     private val firstEvent = Histogram.builder().name("quetzalfield_first_event_seconds")
@@ -38,6 +44,7 @@
             .register(registry)
         AnswerReason.entries.forEach { own.initLabelValues(it.name.lowercase()) }
         RepeatReason.entries.forEach { repeats.initLabelValues(it.name.lowercase()) }
+        (LimitChange.entries - LimitChange.NONE).forEach { limitChanges.initLabelValues(it.name.lowercase()) }
     }
 
     /** Counts an answer of an endpoint, [after] the arrival of its request. */
@@ -68,6 +75,16 @@
         sessionMoves.inc()
     }
 
+    /** Counts a change of the limit that an endpoint names. */
+    public fun countLimitChange(change: LimitChange) {
+        limitChanges.labelValues(change.name.lowercase()).inc()
+    }
+
+    /** Counts an answer in which an endpoint's statement about itself could not be decoded. */
+    public fun countMalformedStatement() {
+        malformedStatements.inc()
+    }
+
     /** Counts a request whose caller disconnected before the final answer. */
     public fun countCancelled() {
         cancelled.inc()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -64,6 +64,9 @@
 
     private var consecutiveFailures = 0
 
+    /** The limit on requests that it has named. */
+    public val limit: EndpointLimit = EndpointLimit()
+
     /** Time at which its entry disappeared from the store; `null` while it is there. */
     public var vanishedAt: ComparableTimeMark? = null
 
@@ -107,6 +110,7 @@
     public fun resetAfterRestart() {
         cachedParts.clear()
         peers.clear()
+        limit.clear()
         load = null
         avoidedUntil = null
         consecutiveFailures = 0
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -8,6 +8,7 @@
 import io.quetzalfield.forwarding.choice.SilencePolicy
 import io.quetzalfield.forwarding.choice.SilenceVerdict
 import io.quetzalfield.forwarding.endpoints.Endpoint
+import io.quetzalfield.forwarding.endpoints.LimitChange
 import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.ModelId
 import kotlin.time.Duration.Companion.milliseconds
@@ -206,6 +207,7 @@
         }
         this.response = response
         responseHead = decoded
+        if (!decoded.isMisdirected) recordStatement(decoded)
         when {
             decoded.isNotRun || decoded.isMisdirected -> handleNotRun(decoded)
             isSuccess(decoded) && !isTrusted(decoded) -> fail("response without signature or request id")
@@ -215,6 +217,28 @@
         return true
     }
 
+    /** Records what the endpoint states about itself. The end of a limit is accepted in a signed response only. */
+    private fun recordStatement(decoded: ResponseHead) {
+        val statement = decoded.statement
+        if (statement.malformed != null) {
+            context.metrics.countMalformedStatement()
+            request.caller.log("statement_malformed", "endpoint" to endpoint, "text" to statement.malformed)
+            return
+        }
+        if (statement.requestsPerSecond == null && !decoded.isSigned) return
+        val before = endpoint.limit.requestsPerSecond
+        val change = endpoint.limit.update(statement.requestsPerSecond)
+        if (change == LimitChange.NONE) return
+        context.metrics.countLimitChange(change)
+        request.caller.log(
+            "endpoint_limit",
+            "endpoint" to endpoint,
+            "change" to change,
+            "per_second" to statement.requestsPerSecond,
+            "before" to before,
+        )
+    }
+
     private fun isSuccess(decoded: ResponseHead) = decoded.status in SUCCESS_STATUSES
 
     private fun isTrusted(decoded: ResponseHead) = decoded.isSigned && decoded.requestId != null
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Dialect.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Dialect.kt
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.quetzalfield.forwarding.endpoints.EndpointId
 import io.quetzalfield.forwarding.endpoints.EndpointLoad
+import io.quetzalfield.forwarding.endpoints.EndpointStatement
 import io.quetzalfield.forwarding.endpoints.PromptPart
 import io.quetzalfield.model.ClientAccountId
 import io.quetzalfield.model.ModelId
@@ -60,6 +61,7 @@
  * @property isNotRun whether the runner states that the request did not run.
  * @property isMisdirected whether a runner other than the expected one responded, without running the request.
  * @property confidence the model's confidence in its answer, from 0 to 100.
+ * @property statement what the endpoint states about itself.
  */
 public data class ResponseHead(
     val status: Int,
@@ -69,6 +71,7 @@
     val isMisdirected: Boolean,
     val confidence: Int?,
     val load: EndpointLoad?,
+    val statement: EndpointStatement = EndpointStatement(),
 ) {
     /** Whether the status is a server error. */
     val isFailure: Boolean get() = status >= FIRST_SERVER_ERROR
