Keep the limits that endpoints name for all instances together

What callers saw: nothing yet; an endpoint in need that had named one request a second received 19 within 4 s from the four instances that it had told.

Cause: no instance read Server-Limit, the first hypothesis. The rate at the endpoint did not change when it named the limit, at any instance, for first attempts (22 of 30 logged sends) as for repeats (8). Ruled out: each instance keeping the limit for itself, and single paths past a limit, as no code read it.

Change: what an endpoint states is kept by start of the endpoint, the newest statement wins, and instances tell each other with the reports of work. Every request passes one check twice, when an endpoint is chosen and when it is written: first attempts, repeats, sessions, larger models, resumed streams and connections that were opened before alike. A limit is divided among a few holders in the rendezvous order of the endpoint over the listed instances, as many as it takes requests a second, at least two; a token bucket that starts empty and a window over what was sent before bound each. An instance that is not listed or is leaving has no part, one that vanished keeps its part for 5 s. After the end the rate doubles each second. If all endpoints of a request are limited it is refused at once with a time of its own to return.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -8,6 +8,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.quetzalfield.decision.CrashQuarantine
 import io.quetzalfield.forwarding.choice.ActiveSessions
+import io.quetzalfield.forwarding.choice.EndpointLimits
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.SessionHolds
 import io.quetzalfield.forwarding.choice.VersionSplit
@@ -62,10 +63,11 @@
         failureDomain = settings.failureDomain,
         peerAddress = settings.peerAddress?.toString(),
     )
-    private val members = Members(record)
+    private val members = Members(record, timeSource)
     private val metrics = RouterMetrics()
     private val sessions = ActiveSessions(timeSource)
     private val sessionHolds = SessionHolds()
+    private val limits = EndpointLimits(timeSource) { members.sharers }
     private val context = RoutingContext(
         eventLoop = eventLoop,
         configuration = ConfigurationHolder(timeSource),
@@ -80,9 +82,10 @@
         timeSource = timeSource,
         confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
         memberCount = { members.count },
+        limits = limits,
     )
     private val workExchange =
-        WorkExchange(eventLoop, incarnation, context.endpoints, members, timeSource, sessionHolds)
+        WorkExchange(eventLoop, incarnation, context.endpoints, members, timeSource, limits, sessionHolds)
     private val relayGroup =
         MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("relay", true), NioIoHandler.newFactory())
     private val followedStore = RelayedStore(platform.store, record, relayGroup.next(), timeSource)
@@ -138,6 +141,7 @@
         DecisionLog.write("stop", "incarnation" to incarnation, "grace" to settings.shutdownGrace)
         eventLoop.execute {
             isStopping = true
+            members.isLeaving = true
             workExchange.announceLeaving()
         }
         followedStore.leave()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -67,6 +67,9 @@
     /** The limit on requests that it has named. */
     public val limit: EndpointLimit = EndpointLimit()
 
+    /** Requests that this instance has sent to it, for its part of the limit. */
+    public val sends: SendPart = SendPart()
+
     /** Time at which its entry disappeared from the store; `null` while it is there. */
     public var vanishedAt: ComparableTimeMark? = null
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
@@ -1,25 +1,42 @@
 package io.quetzalfield.forwarding.fleet
 
 import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.forwarding.choice.LimitSharers
 import io.quetzalfield.forwarding.relay.ListedMember
 import io.quetzalfield.forwarding.relay.RelayGroups
 import io.quetzalfield.forwarding.relay.listedMember
 import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.InstanceId
 import io.quetzalfield.store.StoreChange
 import io.quetzalfield.store.StoredValue
 import java.net.InetSocketAddress
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /** The instances that accept requests, as listed in the store. Used on the event loop only. */
-public class Members(private val own: MemberRecord) {
+public class Members(
+    private val own: MemberRecord,
+    private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) {
     private class Presence(val isLeaving: Boolean, val at: ComparableTimeMark)
 
     private val listed = HashMap<String, ListedMember>()
     private val lastPresence = HashMap<Incarnation, Presence>()
 
+    /** Instances that are no longer listed and did not announce that they leave, with the time of the change. */
+    private val vanished = HashMap<InstanceId, ComparableTimeMark>()
+    private var currentSharers: LimitSharers? = null
+
+    /** Whether this instance is leaving; its parts of limits then go to the others. */
+    public var isLeaving: Boolean = false
+        set(value) {
+            field = value
+            currentSharers = null
+        }
+
     private val ownKey = FleetKeys.member(own.incarnation)
 
     private val others: List<MemberRecord>
@@ -28,6 +45,20 @@
     /** Number of instances that share the limits of the whole fleet; at least 1, for this instance. */
     public val count: Int get() = if (ownKey in listed) listed.size else listed.size + 1
 
+    /**
+     * The instances that divide the limits of endpoints. An instance that vanished stays one of them for a while: it
+     * may be alive and back at once, as after an outage of the store in which the leases ran out, and parts that grow
+     * in the meantime would exceed the limits.
+     */
+    public val sharers: LimitSharers
+        get() {
+            if (vanished.isNotEmpty()) removeExpired()
+            return currentSharers ?: LimitSharers(
+                own = own.incarnation.instance.takeIf { ownKey in listed && !isLeaving },
+                all = listed.values.mapTo(HashSet()) { it.record.incarnation.instance } + vanished.keys,
+            ).also { currentSharers = it }
+        }
+
     /** Addresses at which the other instances receive datagrams. */
     public var peers: Map<Incarnation, InetSocketAddress> = emptyMap()
         private set
@@ -45,15 +76,17 @@
 
     /** Replaces the whole list. */
     public fun replace(values: List<StoredValue>) {
+        val before = listed.values.map { it.record.incarnation }
         listed.clear()
         values.forEach(::put)
+        before.forEach(::recordIfVanished)
         updatePeers()
     }
 
     /** Applies one change of the list. */
     public fun update(change: StoreChange) {
         val value = change.value
-        if (value != null) put(value) else listed.remove(change.key)
+        if (value != null) put(value) else listed.remove(change.key)?.let { recordIfVanished(it.record.incarnation) }
         updatePeers()
         DecisionLog.write("member_change", "key" to change.key, "is_listed" to (value != null), "members" to count)
     }
@@ -92,7 +125,19 @@
     private fun isAvailable(incarnation: Incarnation) =
         lastPresence[incarnation]?.isLeaving != true && !isSilent(incarnation)
 
+    private fun removeExpired() {
+        val now = timeSource.markNow()
+        if (vanished.values.removeIf { now - it > VanishedRetention }) currentSharers = null
+    }
+
+    private fun recordIfVanished(incarnation: Incarnation) {
+        val isListed = listed.values.any { it.record.incarnation.instance == incarnation.instance }
+        val hasLeft = lastPresence[incarnation]?.isLeaving == true
+        if (!isListed && !hasLeft) vanished[incarnation.instance] = timeSource.markNow()
+    }
+
     private fun updatePeers() {
+        currentSharers = null
         peers = others
             .mapNotNull { record ->
                 val address = record.peerAddress?.let(HostPort::parse) ?: return@mapNotNull null
@@ -118,5 +163,8 @@
 
         /** Three messages, plus the delay of the last. */
         const val SILENT_PERIODS = 3.2
+
+        /** Time in which a live instance whose lease ran out is listed again. */
+        val VanishedRetention = 5.seconds
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -10,16 +10,19 @@
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.forwarding.choice.EndpointLimits
 import io.quetzalfield.forwarding.choice.SessionHolds
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.endpoints.EndpointId
+import io.quetzalfield.forwarding.endpoints.LimitChange
 import io.quetzalfield.forwarding.repeatEvery
 import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.Incarnation
 import kotlinx.serialization.SerializationException
 import java.net.InetSocketAddress
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -34,6 +37,8 @@
  * group; the leaders send the sums of their groups to one another, and the sum of all to their groups. The traffic of
  * an instance then grows with its group and with the number of groups, and not with the number of instances.
  *
+ * The limits that endpoints have named take the same ways as the reports of work.
+ *
  * Sessions that are held on a version are reported to all instances immediately, and again with each presence message.
  */
 internal class WorkExchange(
@@ -42,12 +47,14 @@
     private val endpoints: EndpointDirectory,
     private val members: Members,
     private val timeSource: TimeSource.WithComparableMarks,
+    private val limits: EndpointLimits,
     private val holds: SessionHolds = SessionHolds(),
 ) {
     private val composer = WorkMessageComposer(own)
     private val ownReport = WorkReport()
     private val groupReport = WorkReport(::groupWork)
     private val fleetReport = WorkReport(::fleetWork)
+    private val limitReports = LimitReports()
     private val lastNumbers = HashMap<Incarnation, Long>()
     private var channel: Channel? = null
     private var isFlushDue = false
@@ -81,11 +88,13 @@
         eventLoop.schedule(if (isSmallFleet) SmallFleetFlushDelay else FlushDelay) {
             isFlushDue = false
             sendReport(WorkReport::changes)
+            sendLimits(limitReports.changes(endpoints.all, timeSource.markNow()))
         }
     }
 
     private fun refresh() {
         sendReport(WorkReport::all)
+        sendLimits(limitReports.all(endpoints.all, timeSource.markNow()))
         lastNumbers.keys.retainAll(members.peers.keys)
     }
 
@@ -114,6 +123,16 @@
         }
     }
 
+    private fun sendLimits(reports: List<LimitReport>) {
+        val leader = members.leader
+        val receivers = when {
+            isSmallFleet -> members.peers.keys
+            leader != own -> listOf(leader)
+            else -> members.otherLeaders + members.groupPeers
+        }
+        send(composer.limits(reports), receivers)
+    }
+
     private fun groupWork(endpoint: Endpoint): EndpointWork {
         val now = timeSource.markNow()
         val peers = members.groupPeers
@@ -148,6 +167,13 @@
         val now = timeSource.markNow()
         members.recordPresence(message.sender, message.isLeaving, now)
         message.held.forEach(holds::addRemote)
+        takeWork(message, now)
+        val hasNewLimit = message.limits.count { takeLimit(message.sender, it, now) } > 0
+        val hasNewWork = message.work.isNotEmpty() && message.scope != WorkScope.FLEET
+        if ((hasNewLimit || hasNewWork) && !isSmallFleet && members.leader == own) scheduleReport()
+    }
+
+    private fun takeWork(message: WorkMessage, now: ComparableTimeMark) {
         // A leader computes the sum of all from the same messages as the sender.
         if (message.scope == WorkScope.FLEET && members.leader == own) return
         for (work in message.work) {
@@ -155,7 +181,26 @@
             val othersWork = if (message.scope == WorkScope.FLEET) work.without(ownWork(endpoint)) else work
             endpoint.peers.update(message.sender, othersWork.running, othersWork.unreadTokens, now)
         }
-        if (message.work.isNotEmpty() && !isSmallFleet && members.leader == own) scheduleReport()
+    }
+
+    /** Takes the limit that [sender] reports and returns whether this changes what is known. */
+    private fun takeLimit(sender: Incarnation, report: LimitReport, now: ComparableTimeMark): Boolean {
+        val endpoint = endpoints.find(EndpointId(report.endpoint))?.takeIf { it.description.start == report.start }
+            ?: return false
+        val perSecond = report.requestsPerSecond
+        if (perSecond != null && (!perSecond.isFinite() || perSecond < 0)) return false
+        val statedAt = now - report.ageMilliseconds.coerceAtLeast(0).milliseconds
+        val change = limits.record(endpoint, perSecond, statedAt)
+        if (change == LimitChange.NONE) return false
+        DecisionLog.write(
+            "endpoint_limit",
+            "endpoint" to endpoint,
+            "change" to change,
+            "per_second" to perSecond,
+            "told_by" to sender,
+            "age" to report.ageMilliseconds.milliseconds,
+        )
+        return true
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
@@ -38,6 +38,7 @@
  * @property number increases with every message of [sender], so that a message that was overtaken is recognised.
  * @property isLeaving whether [sender] is leaving, so that no more callers should be sent there.
  * @property held sessions that [sender] holds on the previous version.
+ * @property limits what [sender] knows of the limits that endpoints have named.
  */
 @Serializable
 internal data class WorkMessage(
@@ -47,6 +48,7 @@
     val isLeaving: Boolean = false,
     val scope: WorkScope = WorkScope.OWN,
     val held: List<HeldSessions> = emptyList(),
+    val limits: List<LimitReport> = emptyList(),
 ) {
     fun encode(): ByteArray = PeerFormat.encode(serializer(), this)
 
@@ -75,6 +77,10 @@
         .flatMap { one -> one.sessions.chunked(SESSIONS_PER_MESSAGE).map { one.copy(sessions = it) } }
         .map { WorkMessage(sender, ++number, isLeaving = isLeaving, held = listOf(it)) }
 
+    /** Returns messages that report [limits]. */
+    fun limits(limits: List<LimitReport>): List<WorkMessage> = limits.chunked(ENDPOINTS_PER_MESSAGE)
+        .map { WorkMessage(sender, ++number, isLeaving = isLeaving, limits = it) }
+
     private companion object {
         /** About 25 bytes each: a message stays below the 1,500 bytes that a link carries unfragmented. */
         const val ENDPOINTS_PER_MESSAGE = 40
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -227,7 +227,7 @@
         }
         if (statement.requestsPerSecond == null && !decoded.isSigned) return
         val before = endpoint.limit.requestsPerSecond
-        val change = endpoint.limit.update(statement.requestsPerSecond)
+        val change = context.limits.record(endpoint, statement.requestsPerSecond, lastActivity)
         if (change == LimitChange.NONE) return
         context.metrics.countLimitChange(change)
         request.caller.log(
@@ -237,6 +237,7 @@
             "per_second" to statement.requestsPerSecond,
             "before" to before,
         )
+        context.onWorkChanged()
     }
 
     private fun isSuccess(decoded: ResponseHead) = decoded.status in SUCCESS_STATUSES
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
@@ -50,6 +50,11 @@
         }
     }
 
+    /** Returns a [connection] that was acquired and on which nothing was sent. */
+    public fun release(connection: EndpointConnection) {
+        if (connection.channel.isActive) pools.getValue(connection.address).idle.addLast(connection)
+    }
+
     /** Calls [onResult] with whether [address] accepts a connection, and keeps that connection for later requests. */
     public fun probe(address: HostPort, onResult: (Boolean) -> Unit) {
         val pool = pools.getOrPut(address, ::Pool)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -12,7 +12,6 @@
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.ModelId
-import io.quetzalfield.model.VersionId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -129,10 +128,13 @@
     }
 
     /** A delay with a random part, so that callers that are refused together do not retry at the same time. */
-    private fun retryAfter(reason: AnswerReason): Duration = if (reason == AnswerReason.QUARANTINED) {
-        QuarantineRetryDelay
-    } else {
-        ShortestRetryDelay + RetryDelaySpread * context.random.nextDouble()
+    private fun retryAfter(reason: AnswerReason): Duration {
+        val delayByLimits = if (reason == AnswerReason.ENDPOINTS_LIMITED) sender?.delayByLimits() else null
+        return when {
+            reason == AnswerReason.QUARANTINED -> QuarantineRetryDelay
+            delayByLimits != null -> delayByLimits
+            else -> ShortestRetryDelay + RetryDelaySpread * context.random.nextDouble()
+        }
     }
 
     private fun finish() {
@@ -148,13 +150,10 @@
         private val route = request.route
         private val service = request.service
         private val subject = RolloutSubject.of(head.session, head.id)
-        private val tried = HashSet<Endpoint>()
+        private val candidates = EndpointCandidates(context, service, subject, progress)
         private var connectFailures = 0
         private var model: ModelId? = firstModel()
 
-        /** Versions whose endpoints failed the request; other versions are preferred when it is repeated. */
-        private val failedVersions = HashSet<VersionId>()
-
         private val deadlineTimer = context.eventLoop.schedule(request.remaining, ::timeOut)
 
         /** The running attempt. */
@@ -177,10 +176,11 @@
             if (isFinished) return
             if (isQuarantined()) return giveUp(AnswerReason.QUARANTINED)
             val work = Work(model, head.prompt)
-            val placement = context.placement.choose(work, candidates(), context.timeSource.markNow())
-                ?: return giveUp(AnswerReason.NO_ENDPOINT)
+            val known = candidates.all
+            val placement = context.placement.choose(work, candidates.open(known), context.timeSource.markNow())
+                ?: return onNoCandidate(known)
             val endpoint = placement.endpoint
-            tried += endpoint
+            candidates.recordTry(endpoint)
             context.connections.acquire(
                 endpoint.description.address,
                 limit = context.connectionLimit(service),
@@ -193,31 +193,20 @@
         private fun isQuarantined(): Boolean =
             context.crashes.hasSuspects && context.crashes.isQuarantined(request.fingerprint)
 
-        private fun candidates(): List<Endpoint> {
-            val eligible = context.endpoints.eligible(service)
-            val chosen = context.versions.filter(service, subject, eligible).ofStreamVersion()
-            val allowed = if (failedVersions.isEmpty()) chosen else withoutFailedVersion(chosen, eligible)
-            val untried = allowed.filterNot(tried::contains)
-            return untried.ifEmpty { allowed }.ifEmpty { lastResort(eligible) }
-        }
-
-        /**
-         * Excludes the target version of a running roll-out if it has failed the request. After the first share of the
-         * roll-out, this applies to requests outside sessions only, because a session does not return to the previous
-         * version.
-         */
-        private fun withoutFailedVersion(chosen: List<Endpoint>, eligible: List<Endpoint>): List<Endpoint> {
-            val step = context.versions.runningStepOf(service)?.takeIf { it.target in failedVersions } ?: return chosen
-            val maySwitch = !subject.isSession || step.isAtFirstShare
-            if (progress.hasBegun || !maySwitch) return chosen
-            return eligible.filter { it.description.version != step.target }.ifEmpty { chosen }
+        /** Refuses the request; a stream that has begun waits for a short time, as it would be cut otherwise. */
+        private fun onNoCandidate(known: List<Endpoint>) {
+            if (known.isEmpty()) return giveUp(AnswerReason.NO_ENDPOINT)
+            val wait = candidates.timeUntilOpen()
+            if (!progress.hasBegun || wait > minOf(LongestResumeWait, request.remaining)) {
+                return giveUp(AnswerReason.ENDPOINTS_LIMITED)
+            }
+            caller.log("resume_waits", "wait" to wait, "last_event" to progress.lastEvent)
+            context.eventLoop.schedule(wait + 1.milliseconds, ::send)
         }
 
-        private fun lastResort(eligible: List<Endpoint>): List<Endpoint> =
-            if (eligible.isEmpty()) context.endpoints.lastResort(service).ofStreamVersion() else emptyList()
-
-        private fun List<Endpoint>.ofStreamVersion(): List<Endpoint> =
-            progress.version?.let { version -> filter { it.description.version == version } } ?: this
+        /** Delay after which the limits of the endpoints allow a request of this caller. */
+        fun delayByLimits(): Duration =
+            context.returns.delay(service, context.limits.ratePerInstance(candidates.all), request.remaining)
 
         private fun onConnectFailed(endpoint: Endpoint, failure: ConnectFailure) {
             if (failure == ConnectFailure.REFUSED_OR_TIMED_OUT) endpoint.recordFailure(context.timeSource.markNow())
@@ -234,10 +223,16 @@
                 connection.abandon()
                 return giveUp(AnswerReason.CONFIGURATION_UNCONFIRMED)
             }
-            if (!placement.endpoint.isUsable()) {
+            if (!candidates.isUsable(placement.endpoint)) {
                 connection.abandon()
                 return send()
             }
+            if (!context.limits.mayReceive(placement.endpoint)) {
+                caller.log("limit_reached", "endpoint" to placement.endpoint)
+                context.connections.release(connection)
+                return send()
+            }
+            context.limits.recordSend(placement.endpoint)
             attemptsSent++
             runs.recordSend()
             recordSessionVersion(placement.endpoint)
@@ -260,11 +255,10 @@
             if (attemptsSent > 0) head.session?.let { context.sessions.requestEnded(service, it) }
         }
 
-        private fun Endpoint.isUsable() = isEligible || context.endpoints.eligible(service).isEmpty()
-
         /** Sends the request again and returns `true`, if the route and the retry budget allow it. */
         private fun tryRepeat(reason: RepeatReason, isNewRun: Boolean): Boolean {
             val isAllowed = hasAttemptLeft() &&
+                candidates.hasOpen &&
                 (!isNewRun || !runs.mayHaveRun || route.isRepeatable) &&
                 context.retryAllowance.trySpend(service)
             if (!isAllowed) return false
@@ -289,11 +283,14 @@
 
         override fun trySelectLargerModel(asked: ModelId, answer: FirstAnswer): ModelId? {
             val larger = context.cascade.next(route.models, asked, answer) ?: return null
+            // The part of a limited endpoint is left for requests that have no answer yet.
+            if (!candidates.hasUnlimited) return null
             val isAllowed = attemptsSent < route.attemptLimit && context.retryAllowance.trySpend(service)
             return larger.takeIf { isAllowed }
         }
 
-        override fun tryLeaveSilentEndpoint(): Boolean = hasAttemptLeft() && context.retryAllowance.trySpend(service)
+        override fun tryLeaveSilentEndpoint(): Boolean =
+            hasAttemptLeft() && candidates.hasOpen && context.retryAllowance.trySpend(service)
 
         override fun onEnded(attempt: Attempt, outcome: AttemptOutcome) {
             if (this.attempt === attempt) this.attempt = null
@@ -314,7 +311,7 @@
 
         private fun sendToLargerModel(larger: ModelId) {
             model = larger
-            tried.clear()
+            candidates.forgetTries()
             sendAgain(RepeatReason.LOW_CONFIDENCE)
         }
 
@@ -332,7 +329,7 @@
 
         private fun onComplete(endpoint: Endpoint, outcome: AttemptOutcome.Complete) {
             if (outcome.head.isFailure) {
-                failedVersions += endpoint.description.version
+                candidates.recordFailure(endpoint)
                 if (tryRepeat(RepeatReason.SERVER_ERROR, isNewRun = true)) {
                     outcome.body.release()
                     return
@@ -388,6 +385,9 @@
         /** Time of a round trip and the shortest work; an attempt with less time left cannot be answered. */
         val ShortestAttempt = 30.milliseconds
 
+        /** Callers give up a stream that sends nothing for about two seconds. */
+        val LongestResumeWait = 1.seconds
+
         /** Callers retry after [ShortestRetryDelay] and a random part of [RetryDelaySpread]. */
         val ShortestRetryDelay = 200.milliseconds
         val RetryDelaySpread = 600.milliseconds
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/OwnAnswer.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/OwnAnswer.kt
@@ -10,6 +10,7 @@
     UNKNOWN_KEY,
     NO_ENDPOINT,
     ENDPOINTS_FULL,
+    ENDPOINTS_LIMITED,
     ATTEMPTS_SPENT,
     RETRY_BUDGET_SPENT,
     ATTEMPT_FAILED,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -6,10 +6,13 @@
 import io.quetzalfield.forwarding.choice.ActiveSessions
 import io.quetzalfield.forwarding.choice.AnswerPace
 import io.quetzalfield.forwarding.choice.ConfidenceCascade
+import io.quetzalfield.forwarding.choice.EndpointLimits
 import io.quetzalfield.forwarding.choice.EndpointPlacement
 import io.quetzalfield.forwarding.choice.LeastWorkPlacement
+import io.quetzalfield.forwarding.choice.LimitSharers
 import io.quetzalfield.forwarding.choice.ModelCascade
 import io.quetzalfield.forwarding.choice.RetryAllowance
+import io.quetzalfield.forwarding.choice.ReturnSchedule
 import io.quetzalfield.forwarding.choice.VersionSplit
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
 import io.quetzalfield.forwarding.configuration.Route
@@ -47,6 +50,8 @@
     public val random: Random = Random.Default,
     public val confirmationBound: Duration? = null,
     public val memberCount: () -> Int = { 1 },
+    public val limits: EndpointLimits = EndpointLimits(timeSource) { LimitSharers(own = null, all = emptySet()) },
+    public val returns: ReturnSchedule = ReturnSchedule(timeSource, random),
 ) {
     /** Called whenever the work of this instance at an endpoint has changed. */
     public var onWorkChanged: () -> Unit = {}
@@ -84,12 +89,16 @@
         return (all * CONNECTION_SHARE / memberCount().coerceAtLeast(1)).toInt().coerceAtLeast(1)
     }
 
-    /** Fraction of the capacity of [service] that is in use, as far as this instance knows; may exceed 1. */
+    /**
+     * Fraction of the capacity of [service] that is in use, as far as this instance knows; may exceed 1. Endpoints with
+     * a limit do not count beside others, as the limit and not their capacity decides what they accept.
+     */
     public fun occupancy(service: ServiceId): Double {
         val eligible = endpoints.eligible(service)
-        val capacity = eligible.sumOf { it.description.capacity }.coerceAtLeast(1)
+        val open = eligible.filterNot(limits::isLimited).ifEmpty { eligible }
+        val capacity = open.sumOf { it.description.capacity }.coerceAtLeast(1)
         val now = timeSource.markNow()
-        val inUse = eligible.sumOf { endpoint ->
+        val inUse = open.sumOf { endpoint ->
             val reported = endpoint.load?.let { it.running + it.waiting } ?: 0
             maxOf(endpoint.runningAt(now), reported)
         }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkExchangeGroupsTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkExchangeGroupsTest.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import io.quetzalfield.forwarding.choice.EndpointLimits
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.endpoints.EndpointId
 import io.quetzalfield.forwarding.endpoints.description
@@ -44,8 +45,9 @@
                 },
             )
         }
+        val limits = EndpointLimits { members.sharers }
         val exchange =
-            WorkExchange(eventLoop, record.incarnation, endpoints, members, TimeSource.Monotonic).apply {
+            WorkExchange(eventLoop, record.incarnation, endpoints, members, TimeSource.Monotonic, limits).apply {
                 start(checkNotNull(HostPort.parse(checkNotNull(record.peerAddress))))
             }
 
