--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembersTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembersTest.kt
@@ -5,8 +5,10 @@
 import io.quetzalfield.store.PlatformJson
 import io.quetzalfield.store.StoreRevision
 import io.quetzalfield.store.StoredValue
+import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNull
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 
@@ -16,15 +18,19 @@
     private val records = (1..4).map { number ->
         MemberRecord(Incarnation(InstanceId("front-$number"), "start"), "10.0.0.$number:80", "a")
     }
-    private val members = Members(own = records[0]).apply {
-        replace(
-            records.map {
-                val json = PlatformJson.encodeToString(MemberRecord.serializer(), it)
-                StoredValue(FleetKeys.member(it.incarnation), json, StoreRevision(1), StoreRevision(1))
-            },
-        )
+    private val members = Members(own = records[0], time).apply {
+        replace(records.map(::valueOf))
     }
 
+    private fun valueOf(record: MemberRecord): StoredValue {
+        val json = PlatformJson.encodeToString(MemberRecord.serializer(), record)
+        return StoredValue(FleetKeys.member(record.incarnation), json, StoreRevision(1), StoreRevision(1))
+    }
+
+    private fun list(vararg numbers: Int) = members.replace(numbers.map { valueOf(records[it - 1]) })
+
+    private fun sharers() = members.sharers.all.map { it.value.removePrefix("front-").toInt() }.sorted()
+
     private fun hear(vararg numbers: Int, isLeaving: Boolean = false) =
         numbers.forEach { members.recordPresence(records[it - 1].incarnation, isLeaving, time.markNow()) }
 
@@ -61,4 +67,49 @@
         hear(2)
         assertEquals(listOf(1, 2, 3, 4), given())
     }
+
+    /** Load pattern: the leases of instances run out while the store is away, and they join again. */
+    @Nested
+    inner class LimitSharers {
+        @Test
+        fun `the listed instances divide limits`() {
+            assertEquals(listOf(1, 2, 3, 4), sharers())
+            assertEquals("front-1", members.sharers.own?.value)
+        }
+
+        @Test
+        fun `an instance that vanished keeps its part for a while`() {
+            list(1, 2)
+            assertEquals(listOf(1, 2, 3, 4), sharers())
+            time += 4.9.seconds
+            assertEquals(listOf(1, 2, 3, 4), sharers())
+            time += 0.2.seconds
+            assertEquals(listOf(1, 2), sharers())
+        }
+
+        @Test
+        fun `the part of an instance that announced its end goes to the others at once`() {
+            hear(2, 4)
+            hear(3, isLeaving = true)
+            list(1, 2, 4)
+            assertEquals(listOf(1, 2, 4), sharers())
+        }
+
+        @Test
+        fun `an instance that is not listed, or is leaving, has no part`() {
+            list(2, 3, 4)
+            assertNull(members.sharers.own)
+            list(1, 2, 3, 4)
+            members.isLeaving = true
+            assertNull(members.sharers.own)
+            assertNull(Members(own = records[0], time).sharers.own)
+        }
+
+        @Test
+        fun `an instance that hears no other does not take the parts of the others`() {
+            hear(2, 3, 4)
+            time += 60.seconds
+            assertEquals(listOf(1, 2, 3, 4), sharers())
+        }
+    }
 }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkExchangeGroupsTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkExchangeGroupsTest.kt
@@ -58,6 +58,22 @@
         }
     }
 
+    /** The limits that the instances know; `null` for those that know none. */
+    private fun knownLimits() = onEventLoop { instances.map { it.endpoint.limit.requestsPerSecond }.distinct() }
+
+    private fun awaitLimit(perSecond: Double?) {
+        val start = TimeSource.Monotonic.markNow()
+        while (knownLimits() != listOf(perSecond)) {
+            if (start.elapsedNow() > 3.seconds) return assertEquals(listOf(perSecond), knownLimits())
+            Thread.sleep(5)
+        }
+    }
+
+    private fun Instance.hearFromEndpoint(perSecond: Double?) = onEventLoop {
+        limits.record(endpoint, perSecond, TimeSource.Monotonic.markNow())
+        exchange.scheduleReport()
+    }
+
     private fun <T> onEventLoop(action: () -> T): T = eventLoop.submit(action).get()
 
     private fun knownWork() = onEventLoop {
@@ -89,4 +105,14 @@
         instances[11].setWork(running = 0, unreadTokens = 0)
         awaitWork(running = 3, unreadTokens = 70)
     }
+
+    @Test
+    fun `a limit that one instance hears of is known at all instances, and so are its change and its end`() {
+        instances[11].hearFromEndpoint(1.5)
+        awaitLimit(1.5)
+        instances[4].hearFromEndpoint(4.0)
+        awaitLimit(4.0)
+        instances[0].hearFromEndpoint(null)
+        awaitLimit(null)
+    }
 }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
@@ -83,6 +83,25 @@
         WorkMessage(sender, number = 6, held = held),
     )
 
+    /** Written by the build that added the field, which older builds skip. */
+    @Test
+    fun `limits of endpoints`() = assertBytes(
+        "0a120a0766726f6e742d31120773746172742d37" +
+            "1007" +
+            "3a1c0a0872756e6e65722d311080d095ffbc31199a9999999999f13f2014" +
+            "3a170a0872756e6e65722d3210001900000000000000002000" +
+            "3a0f0a0872756e6e65722d33100520ac02",
+        WorkMessage(
+            sender,
+            number = 7,
+            limits = listOf(
+                LimitReport("runner-1", start = 1_700_000_000_000, requestsPerSecond = 1.1, ageMilliseconds = 20),
+                LimitReport("runner-2", start = 0, requestsPerSecond = 0.0, ageMilliseconds = 0),
+                LimitReport("runner-3", start = 5, ageMilliseconds = 300),
+            ),
+        ),
+    )
+
     @Test
     fun `a message with all fields`() = assertBytes(
         "0a120a0766726f6e742d31120773746172742d37" +
