--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -170,7 +170,8 @@
         takeWork(message, now)
         val hasNewLimit = message.limits.count { takeLimit(message.sender, it, now) } > 0
         val hasNewWork = message.work.isNotEmpty() && message.scope != WorkScope.FLEET
-        if ((hasNewLimit || hasNewWork) && !isSmallFleet && members.leader == own) scheduleReport()
+        val isForwarding = !isSmallFleet && members.leader == own
+        if (isForwarding && (hasNewLimit || hasNewWork)) scheduleReport()
     }
 
     private fun takeWork(message: WorkMessage, now: ComparableTimeMark) {
