--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
@@ -102,6 +102,12 @@
         ),
     )
 
+    @Test
+    fun `a field that a later build adds is skipped`() {
+        val bytes = HexFormat.of().parseHex("0a120a0766726f6e742d31120773746172742d37" + "1001" + "4a03616263")
+        assertEquals(WorkMessage(sender, number = 1), WorkMessage.decode(bytes))
+    }
+
     @Test
     fun `a message with all fields`() = assertBytes(
         "0a120a0766726f6e742d31120773746172742d37" +
