End limits that no answer confirms

What callers saw: nothing yet; found by reading. An instance that has no part of a limit sends nothing to the endpoint, and the end is reported for 6 s. Cut off or paused for longer it would have stayed limited, and would have refused every request if all endpoints of a service had been limited.

A limit without a confirming answer for 10 s, or for the time of six requests, now ends in the same steps as one that the endpoint took back.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointLimit.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointLimit.kt
@@ -2,6 +2,7 @@
 
 import kotlin.math.pow
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Effect of a statement on the limit of its endpoint. */
@@ -11,7 +12,8 @@
  * The limit on requests that an endpoint has named, by its newest statement. Used on the event loop only.
  *
  * When the limit ends, the rate doubles every [GrowthPeriod] instead of returning at once: an endpoint that has just
- * recovered would otherwise get the requests of all instances in the same moment.
+ * recovered would otherwise get the requests of all instances in the same moment. A limit that no answer confirms ends
+ * in the same way: an instance that has no part of it sends nothing, and may have missed the report of its end.
  */
 public class EndpointLimit {
     /** Requests per second that the endpoint named last; kept after the end of the limit. */
@@ -54,12 +56,19 @@
     /** Requests per second that all instances together may send at [now]; `null` if there is no limit. */
     public fun rateAt(now: ComparableTimeMark): Double? {
         val base = maxOf(named ?: return null, LOWEST_RATE)
-        val ended = statedAt
-        if (isInForce || ended == null) return base
-        val sinceEnd = now - ended
-        return if (sinceEnd < Recovery) base * GROWTH.pow(sinceEnd / GrowthPeriod) else null
+        val stated = statedAt ?: return base
+        val sinceEnd = now - if (isInForce) stated + validity(base) else stated
+        return when {
+            sinceEnd <= Duration.ZERO -> base
+            sinceEnd < Recovery -> base * GROWTH.pow(sinceEnd / GrowthPeriod)
+            else -> null
+        }
     }
 
+    /** Time for which a statement of [perSecond] holds: that of several requests which would confirm it. */
+    private fun validity(perSecond: Double): Duration =
+        maxOf(ShortestValidity, (CONFIRMING_REQUESTS / perSecond).seconds)
+
     /** Discards the limit, as the endpoint has restarted. */
     public fun clear() {
         named = null
@@ -74,6 +83,12 @@
          */
         const val LOWEST_RATE = 0.1
         const val GROWTH = 2.0
+
+        /** Requests after which a limit that is in force has been confirmed, also if some are not answered. */
+        const val CONFIRMING_REQUESTS = 6
+
+        /** Many times the period in which instances report limits to each other. */
+        val ShortestValidity = 10.seconds
         val GrowthPeriod = 1.seconds
 
         /** Time after the end of a limit in which the rate reaches many times the limit. */
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointLimitTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointLimitTest.kt
@@ -64,6 +64,20 @@
         assertEquals(2.0, rate())
     }
 
+    /** An instance that was cut off as a limit ended, and has no part of it, would otherwise never send again. */
+    @Test
+    fun `a limit that no answer confirms ends in steps, as its end may have been missed`() {
+        state(1.0)
+        time += 9.seconds
+        assertEquals(1.0, rate())
+        time += 2.seconds
+        assertEquals(2.0, rate())
+        time += 6.seconds
+        assertNull(rate())
+        assertEquals(LimitChange.NONE, state(1.0))
+        assertEquals(1.0, rate())
+    }
+
     @Test
     fun `an endpoint that names zero is still asked now and then, as only an answer ends the limit`() {
         state(0.0)
