--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -11,6 +11,7 @@
 import io.quetzalfield.forwarding.endpoints.LimitChange
 import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.ModelId
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.milliseconds
 
 /** How one attempt ended. */
@@ -76,6 +77,9 @@
     private var splitter: EventSplitter? = null
     private var lastActivity = sentAt
 
+    /** Time at which the first event of this attempt was received; `null` before that. */
+    private var firstEventAt: ComparableTimeMark? = null
+
     /** Bytes of the body that are buffered until it is complete. */
     private var bufferedBytes = 0
     private var silenceTimer: ScheduledFuture<*>? = null
@@ -104,6 +108,7 @@
             "attempt" to number,
             "in_flight" to endpoint.inFlight,
             "unread_tokens" to placement.tokensToRead,
+            "parts" to head.sharedParts.takeIf { it.isNotEmpty() }?.joinToString(",")?.take(LOGGED_PARTS_LENGTH),
             "remaining" to attemptHead.remaining,
         )
         val body = request.caller.body
@@ -279,6 +284,7 @@
         val whole = events.add(content)
         // Bytes of an event that is never completed do not show that the endpoint makes progress.
         if (whole.isNotEmpty()) recordActivity()
+        if (whole.isNotEmpty() && firstEventAt == null) firstEventAt = lastActivity
         for (event in whole) if (isOver) event.bytes.release() else handle(event)
         if (!isOver && events.isEventTooLarge) fail("stream event exceeds the size limit")
     }
@@ -361,7 +367,14 @@
     }
 
     private fun fail(reason: String, isConnectionLost: Boolean = false) {
-        request.caller.log("broken", "endpoint" to endpoint, "reason" to reason, "last_event" to progress.lastEvent)
+        request.caller.log(
+            "broken",
+            "endpoint" to endpoint,
+            "reason" to reason,
+            "head_received" to (responseHead != null),
+            "since_first_event" to firstEventAt?.elapsedNow(),
+            "last_event" to progress.lastEvent,
+        )
         connection.abandon()
         endpoint.recordFailure(context.timeSource.markNow())
         end(AttemptOutcome.Broken(mayHaveCrashed = isConnectionLost && responseHead == null))
@@ -374,6 +387,9 @@
 
     private companion object {
         const val LOWEST_URGENCY = 9
+
+        /** Characters; enough for the parts of the usual prompts. */
+        const val LOGGED_PARTS_LENGTH = 200
         val SUCCESS_STATUSES = 200..299
 
         /** Bytes of a response that is buffered until it is complete; plain services are expected to send less. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Dialect.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Dialect.kt
@@ -34,7 +34,10 @@
     val prompt: List<PromptPart>,
     val session: SessionId?,
     val lastEventId: Long?,
-)
+) {
+    /** Ids of the parts that other requests may share; the last part belongs to the request or its session alone. */
+    val sharedParts: List<String> by lazy { prompt.dropLast(1).map(PromptPart::id) }
+}
 
 /**
  * The header values that one attempt adds to the caller's request.
