Refuse requests with a part of their prompts that makes endpoints end

Cause: a crash was counted for the hash of the whole request, and no two of these requests are alike. And it was counted only for requests without a response head: the one that ends an endpoint has one, as it ends when the answer begins, so that its crash was not counted at all, while sound requests that waited there were counted and, after two such losses, refused for an hour (65 hashes by 18.6 s).

Class of fault: the identity by which a cause is counted is not the identity of the cause.

Ruled out: reports that are late (quarantine_learned follows within 0.3 s); a repeat that passes the check (a request with the part was refused nowhere before).

Now the requests that an endpoint had just begun to answer, or had yet to begin, are the candidates for its loss, with the parts of their prompts. The loss is confirmed by a connection that the endpoint refuses. The evidence of all instances is exchanged and counts together; a part that explains three losses and was not answered since is refused, and explains away the losses of the requests beside it. Answers clear a part, everywhere; a doubtful one is tried again by one request of one instance. Decisions are kept in the store for ten minutes, for instances that start.

The check is passed by every send, and again when the request is written; requests that wait at an endpoint are withdrawn when their part is refused.

CrashLedgerTest has the load patterns.

--- a/decision/src/main/kotlin/io/quetzalfield/decision/CrashQuarantine.kt
+++ b/decision/src/main/kotlin/io/quetzalfield/decision/CrashQuarantine.kt
@@ -114,9 +114,6 @@
         }
     }
 
-    /** Whether any fingerprint is recorded as suspected, quarantined or recently cleared. */
-    public val hasSuspects: Boolean get() = shards.any { shard -> synchronized(shard) { shard.records.isNotEmpty() } }
-
     /**
      * Whether a request with [fingerprint] is refused. Intended for callers that do not isolate suspects: where many
      * requests share a runner, delaying all that were in flight when it crashed would cost more than a second crash.
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -32,6 +32,15 @@
         .register(registry)
     private val malformedStatements = Counter.builder().name("quetzalfield_malformed_statements_total")
         .help("Answers in which an endpoint's statement about itself could not be decoded").register(registry)
+    private val suspectedCrashes = Counter.builder().name("quetzalfield_suspected_crashes_total")
+        .help("Requests whose endpoint was lost before it had answered them, or as it began to").register(registry)
+    private val confirmedCrashes = Counter.builder().name("quetzalfield_confirmed_crashes_total")
+        .help("Losses of endpoints that refused a connection afterwards").register(registry)
+    private val blamed = Counter.builder().name("quetzalfield_crash_suspects_blamed_total")
+        .help("Requests and parts of prompts that are refused as endpoints end by them").labelNames("kind")
+        .register(registry)
+    private val cleared = Counter.builder().name("quetzalfield_crash_suspects_cleared_total")
+        .help("Requests and parts of prompts that are no longer refused").register(registry)
     private val duration = Histogram.builder().name("quetzalfield_answer_seconds")
         .help("Time from the whole request to the final answer").register(registry)
     private val firstEvent = Histogram.builder().name("quetzalfield_first_event_seconds")
@@ -44,6 +53,7 @@
             .register(registry)
         AnswerReason.entries.forEach { own.initLabelValues(it.name.lowercase()) }
         RepeatReason.entries.forEach { repeats.initLabelValues(it.name.lowercase()) }
+        listOf(PART, REQUEST).forEach { blamed.initLabelValues(it) }
         (LimitChange.entries - LimitChange.NONE).forEach { limitChanges.initLabelValues(it.name.lowercase()) }
     }
 
@@ -85,6 +95,26 @@
         malformedStatements.inc()
     }
 
+    /** Counts a request whose endpoint was lost before it had answered it, or as it began to. */
+    public fun countSuspectedCrash() {
+        suspectedCrashes.inc()
+    }
+
+    /** Counts an endpoint that refused a connection after its loss. */
+    public fun countConfirmedCrash() {
+        confirmedCrashes.inc()
+    }
+
+    /** Counts a part of prompts, or else a request, that is refused from now on. */
+    public fun countBlamed(isPart: Boolean) {
+        blamed.labelValues(if (isPart) PART else REQUEST).inc()
+    }
+
+    /** Counts a part of prompts or a request that is no longer refused. */
+    public fun countCleared() {
+        cleared.inc()
+    }
+
     /** Counts a request whose caller disconnected before the final answer. */
     public fun countCancelled() {
         cancelled.inc()
@@ -94,4 +124,9 @@
     public fun observeFirstEvent(after: Duration) {
         firstEvent.observe(after.toDouble(DurationUnit.SECONDS))
     }
+
+    private companion object {
+        const val PART = "part"
+        const val REQUEST = "request"
+    }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -6,15 +6,18 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.util.concurrent.DefaultThreadFactory
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
-import io.quetzalfield.decision.CrashQuarantine
+import io.quetzalfield.decision.rendezvousOrder
 import io.quetzalfield.forwarding.choice.ActiveSessions
 import io.quetzalfield.forwarding.choice.EndpointLimits
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.SessionHolds
 import io.quetzalfield.forwarding.choice.VersionSplit
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
+import io.quetzalfield.forwarding.crashes.BlameReport
+import io.quetzalfield.forwarding.crashes.CrashGuard
+import io.quetzalfield.forwarding.crashes.CrashSuspect
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
-import io.quetzalfield.forwarding.fleet.CrashReports
+import io.quetzalfield.forwarding.fleet.BlameRecords
 import io.quetzalfield.forwarding.fleet.FleetFollower
 import io.quetzalfield.forwarding.fleet.FleetKeys
 import io.quetzalfield.forwarding.fleet.LeasedRecords
@@ -68,6 +71,8 @@
     private val sessions = ActiveSessions(timeSource)
     private val sessionHolds = SessionHolds()
     private val limits = EndpointLimits(timeSource) { members.sharers }
+    private val connections = EndpointConnections(eventLoop, timeSource, metrics::countConnection)
+    private val crashes = CrashGuard(eventLoop, connections, metrics, timeSource, ::isTrialHolder)
     private val context = RoutingContext(
         eventLoop = eventLoop,
         configuration = ConfigurationHolder(timeSource),
@@ -75,17 +80,17 @@
         headerCodec = platform.headers,
         metrics = metrics,
         retryAllowance = RetryAllowance(settings.retryBounds, timeSource) { members.count },
-        connections = EndpointConnections(eventLoop, timeSource, metrics::countConnection),
+        connections = connections,
         sessions = sessions,
         versions = VersionSplit(timeSource, sessions = sessions, holds = sessionHolds),
-        crashes = CrashQuarantine(incarnation.instance, timeSource = timeSource),
+        crashes = crashes,
         timeSource = timeSource,
         confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
         memberCount = { members.count },
         limits = limits,
     )
     private val workExchange =
-        WorkExchange(eventLoop, incarnation, context.endpoints, members, timeSource, limits, sessionHolds)
+        WorkExchange(eventLoop, incarnation, context.endpoints, members, timeSource, limits, sessionHolds, crashes)
     private val relayGroup =
         MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("relay", true), NioIoHandler.newFactory())
     private val followedStore = RelayedStore(platform.store, record, relayGroup.next(), timeSource)
@@ -107,8 +112,8 @@
     @Volatile
     private var orders: List<RolloutOrder> = emptyList()
     private val observations = LeasedRecords(platform.store) { membership.lease }
-    private val crashReports =
-        CrashReports(context.crashes, incarnation, LeasedRecords(platform.store) { membership.lease })
+    private val blameRecords =
+        BlameRecords(platform.store) { eventLoop.submit<List<BlameReport>>(crashes::ownDecisions).get() }
 
     /** Revisions of the orders whose end has been reported. */
     private val closedOrders: MutableSet<Long> = ConcurrentHashMap.newKeySet()
@@ -126,14 +131,15 @@
         platform.start(PlatformFeed(context, ::updateOrders), followedStore)
         followedStore.follow(
             FleetKeys.FLEET_PREFIX,
-            FleetFollower(context, members, crashReports, onReported = closedOrders::add),
+            FleetFollower(context, members, onReported = closedOrders::add),
             FleetFollowSettings,
         )
         followedStore.start()
         scheduleEvery(MembershipPeriod, membership::renew)
         scheduleEvery(DutyPeriod, ::runDuties)
         scheduleEvery(ObservationPeriod, ::publishObservations)
-        scheduleEvery(CrashReportPeriod, crashReports::publish)
+        scheduleEvery(BlamePeriod, blameRecords::publish)
+        scheduleEvery(BlameRecords.TimeToLive / BLAME_RENEWALS, blameRecords::renew)
     }
 
     /** Leaves the directory, then waits until all requests have ended or the shutdown grace is nearly over. */
@@ -196,6 +202,13 @@
         return PlainAnswer(STATUS_OK, format.contentType, buffer.toByteArray())
     }
 
+    /** Whether this instance is the only one that may try whether endpoints still end by [suspect]. */
+    private fun isTrialHolder(suspect: CrashSuspect): Boolean {
+        val sharers = members.sharers
+        return sharers.own != null &&
+            rendezvousOrder(suspect.value, sharers.all, InstanceId::value).first() == sharers.own
+    }
+
     private fun updateOrders(current: List<RolloutOrder>) {
         rollouts.setOrders(current)
         orders = current
@@ -261,8 +274,9 @@
         private val DutyPeriod = 800.milliseconds
         private val ObservationPeriod = 1_000.milliseconds
 
-        /** All instances refuse a request that crashes endpoints well within one second of its second crash. */
-        private val CrashReportPeriod = 300.milliseconds
+        /** Reaches instances that hear no others well within the time in which all must know. */
+        private val BlamePeriod = 300.milliseconds
+        private const val BLAME_RENEWALS = 4
 
         /** Members change rarely, and a step of a roll-out is received at once. */
         private val FleetFollowSettings = FollowSettings(wait = 4.seconds, relistInterval = 10.seconds)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
@@ -3,6 +3,8 @@
 import io.quetzalfield.forwarding.DecisionLog
 import io.quetzalfield.forwarding.StorePartLog
 import io.quetzalfield.forwarding.UNREADABLE_RECORD
+import io.quetzalfield.forwarding.crashes.BlameReport
+import io.quetzalfield.forwarding.crashes.CrashNews
 import io.quetzalfield.forwarding.decodeOrLog
 import io.quetzalfield.forwarding.http.RoutingContext
 import io.quetzalfield.store.StoreChange
@@ -17,7 +19,6 @@
 internal class FleetFollower(
     private val context: RoutingContext,
     private val members: Members,
-    private val crashes: CrashReports,
     private val onReported: (Long) -> Unit,
 ) : StoreFollower {
     private val eventLoop get() = context.eventLoop
@@ -43,12 +44,17 @@
 
     private fun applyValue(value: StoredValue) {
         if (value.key.startsWith(FleetKeys.CRASHES)) {
-            value.decodeOrLog(CrashReportRecord.serializer(), UNREADABLE_RECORD)?.let(crashes::learn)
+            applyBlame(value)
         } else {
             applyStep(value)
         }
     }
 
+    private fun applyBlame(value: StoredValue) {
+        val report = value.decodeOrLog(BlameReport.serializer(), UNREADABLE_RECORD) ?: return
+        eventLoop.execute { context.crashes.learn(CrashNews(blames = listOf(report)), sender = "store") }
+    }
+
     private fun applyStep(value: StoredValue) {
         val record = value.decodeOrLog(RolloutRecord.serializer(), UNREADABLE_RECORD) ?: return
         if (record.isReported) onReported(record.step.orderRevision)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetKeys.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetKeys.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.forwarding.fleet
 
 import io.quetzalfield.model.Incarnation
+import io.quetzalfield.model.RequestFingerprint
 import io.quetzalfield.model.ServiceId
 
 /** Keys of the router in the store; docs/STATE.md lists all keys. */
@@ -14,7 +15,7 @@
     /** Current steps of roll-outs, one key per service. */
     public const val STEPS: String = "fleet/rollouts/"
 
-    /** Reports on requests that may crash endpoints, one key per instance under its lease. */
+    /** Requests that are refused as they make endpoints end, one key for each request or part of prompts. */
     public const val CRASHES: String = "fleet/crashes/"
 
     /** Observations of versions, one key per service and instance under the instance's lease. */
@@ -23,8 +24,8 @@
     /** Returns the key of [incarnation]'s membership. */
     public fun member(incarnation: Incarnation): String = "$MEMBERS$incarnation"
 
-    /** Returns the key of [incarnation]'s reports of crashes. */
-    public fun crashes(incarnation: Incarnation): String = "$CRASHES$incarnation"
+    /** Returns the key for the request or part of prompts whose name has the hash [suspect]. */
+    public fun blame(suspect: RequestFingerprint): String = "$CRASHES${suspect.value}"
 
     /** Returns the key of the current step of [service]. */
     public fun step(service: ServiceId): String = STEPS + service.value
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -12,6 +12,7 @@
 import io.quetzalfield.forwarding.DecisionLog
 import io.quetzalfield.forwarding.choice.EndpointLimits
 import io.quetzalfield.forwarding.choice.SessionHolds
+import io.quetzalfield.forwarding.crashes.CrashGuard
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.endpoints.EndpointId
@@ -40,6 +41,7 @@
  * The limits that endpoints have named take the same ways as the reports of work.
  *
  * Sessions that are held on a version are reported to all instances immediately, and again with each presence message.
+ * The same holds for what an instance has found about requests that make endpoints end.
  */
 internal class WorkExchange(
     private val eventLoop: EventLoop,
@@ -49,6 +51,7 @@
     private val timeSource: TimeSource.WithComparableMarks,
     private val limits: EndpointLimits,
     private val holds: SessionHolds = SessionHolds(),
+    private val crashes: CrashGuard? = null,
 ) {
     private val composer = WorkMessageComposer(own)
     private val ownReport = WorkReport()
@@ -58,6 +61,7 @@
     private val lastNumbers = HashMap<Incarnation, Long>()
     private var channel: Channel? = null
     private var isFlushDue = false
+    private var isCrashReportDue = false
 
     private val isSmallFleet: Boolean get() = members.count <= LARGEST_SMALL_FLEET
 
@@ -71,6 +75,7 @@
         }
         channel = bound.channel()
         holds.onHeld = { send(composer.held(listOf(it)), members.peers.keys) }
+        crashes?.onNews = ::scheduleCrashReport
         eventLoop.repeatEvery(RefreshPeriod, ::refresh)
         schedulePresence()
     }
@@ -92,6 +97,15 @@
         }
     }
 
+    private fun scheduleCrashReport() {
+        if (isCrashReportDue) return
+        isCrashReportDue = true
+        eventLoop.schedule(CrashReportDelay) {
+            isCrashReportDue = false
+            crashes?.let { send(composer.crashes(it.takeNews()), members.peers.keys) }
+        }
+    }
+
     private fun refresh() {
         sendReport(WorkReport::all)
         sendLimits(limitReports.all(endpoints.all, timeSource.markNow()))
@@ -106,7 +120,10 @@
         }
     }
 
-    private fun sendPresence() = send(composer.held(holds.local) + composer.presence(), members.peers.keys)
+    private fun sendPresence() {
+        val news = crashes?.recentNews()?.let(composer::crashes).orEmpty()
+        send(composer.held(holds.local) + news + composer.presence(), members.peers.keys)
+    }
 
     /** Sends the part of the reports that [select] returns to the instances that need it. */
     private fun sendReport(select: WorkReport.(Collection<Endpoint>) -> List<EndpointWork>) {
@@ -167,6 +184,7 @@
         val now = timeSource.markNow()
         members.recordPresence(message.sender, message.isLeaving, now)
         message.held.forEach(holds::addRemote)
+        message.crashes?.let { crashes?.learn(it, message.sender) }
         takeWork(message, now)
         val hasNewLimit = message.limits.count { takeLimit(message.sender, it, now) } > 0
         val hasNewWork = message.work.isNotEmpty() && message.scope != WorkScope.FLEET
@@ -222,6 +240,9 @@
         /** Combines the changes by the decisions on one request; short compared with the time to read a prompt. */
         val SmallFleetFlushDelay = 5.milliseconds
 
+        /** Combines what the requests show that an endpoint took with it; short compared with its restart. */
+        val CrashReportDelay = 5.milliseconds
+
         /** Combines the changes of many requests; short compared with the time for which a request runs. */
         val FlushDelay = 100.milliseconds
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
@@ -2,6 +2,7 @@
 
 import io.quetzalfield.forwarding.PeerFormat
 import io.quetzalfield.forwarding.choice.HeldSessions
+import io.quetzalfield.forwarding.crashes.CrashNews
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointId
 import io.quetzalfield.model.Incarnation
@@ -39,6 +40,7 @@
  * @property isLeaving whether [sender] is leaving, so that no more callers should be sent there.
  * @property held sessions that [sender] holds on the previous version.
  * @property limits what [sender] knows of the limits that endpoints have named.
+ * @property crashes what [sender] has found about requests that make endpoints end.
  */
 @Serializable
 internal data class WorkMessage(
@@ -49,6 +51,7 @@
     val scope: WorkScope = WorkScope.OWN,
     val held: List<HeldSessions> = emptyList(),
     val limits: List<LimitReport> = emptyList(),
+    val crashes: CrashNews? = null,
 ) {
     fun encode(): ByteArray = PeerFormat.encode(serializer(), this)
 
@@ -81,6 +84,10 @@
     fun limits(limits: List<LimitReport>): List<WorkMessage> = limits.chunked(ENDPOINTS_PER_MESSAGE)
         .map { WorkMessage(sender, ++number, isLeaving = isLeaving, limits = it) }
 
+    /** Returns messages that report [news]. */
+    fun crashes(news: CrashNews): List<WorkMessage> =
+        news.split().map { WorkMessage(sender, ++number, isLeaving = isLeaving, crashes = it) }
+
     private companion object {
         /** About 25 bytes each: a message stays below the 1,500 bytes that a link carries unfragmented. */
         const val ENDPOINTS_PER_MESSAGE = 40
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -7,12 +7,14 @@
 import io.quetzalfield.forwarding.choice.Placement
 import io.quetzalfield.forwarding.choice.SilencePolicy
 import io.quetzalfield.forwarding.choice.SilenceVerdict
+import io.quetzalfield.forwarding.crashes.CrashCandidate
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.LimitChange
 import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.ModelId
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** How one attempt ended. */
 internal sealed interface AttemptOutcome {
@@ -25,11 +27,8 @@
     /** The endpoint exceeded the silence limit, and the request may be sent to another endpoint. */
     data object Silent : AttemptOutcome
 
-    /**
-     * The answer was incomplete or invalid. [mayHaveCrashed] if the connection was lost before the endpoint had sent a
-     * response head: a request that crashes endpoints does so when it begins to run.
-     */
-    data class Broken(val mayHaveCrashed: Boolean) : AttemptOutcome
+    /** The answer was incomplete or invalid; [candidate] is set if the request may have made the endpoint end. */
+    data class Broken(val candidate: CrashCandidate?) : AttemptOutcome
 
     /** The answer is complete. The receiver releases [body]. */
     class Complete(val response: HttpResponse, val head: ResponseHead, val body: ByteBuf) : AttemptOutcome
@@ -80,6 +79,9 @@
     /** Time at which the first event of this attempt was received; `null` before that. */
     private var firstEventAt: ComparableTimeMark? = null
 
+    /** Whether the answer has shown that the parts of the prompt are sound. */
+    private var isProven = false
+
     /** Bytes of the body that are buffered until it is complete. */
     private var bufferedBytes = 0
     private var silenceTimer: ScheduledFuture<*>? = null
@@ -183,8 +185,9 @@
 
     /** Connects to the endpoint: one that accepts connections is assumed to be busy, any other one to be lost. */
     private fun probe() {
-        context.connections.probe(endpoint.description.address) { isReached ->
+        context.connections.probe(endpoint.description.address) { failure ->
             if (isOver) return@probe
+            val isReached = failure == null
             if (isReached) endpoint.lastHeard = context.timeSource.markNow()
             if (isReached) watchSilence() else onSilenceExceeded()
         }
@@ -284,7 +287,7 @@
         val whole = events.add(content)
         // Bytes of an event that is never completed do not show that the endpoint makes progress.
         if (whole.isNotEmpty()) recordActivity()
-        if (whole.isNotEmpty() && firstEventAt == null) firstEventAt = lastActivity
+        if (whole.isNotEmpty()) recordProgress()
         for (event in whole) if (isOver) event.bytes.release() else handle(event)
         if (!isOver && events.isEventTooLarge) fail("stream event exceeds the size limit")
     }
@@ -353,6 +356,7 @@
 
     private fun countSuccess() {
         endpoint.recordSuccess()
+        if (!isProven) recordProof(firstEventAt ?: lastActivity)
         speed.onAnswerComplete()
         context.observer.countAnswer(request.service, endpoint.description.version)
     }
@@ -377,7 +381,25 @@
         )
         connection.abandon()
         endpoint.recordFailure(context.timeSource.markNow())
-        end(AttemptOutcome.Broken(mayHaveCrashed = isConnectionLost && responseHead == null))
+        end(AttemptOutcome.Broken(if (isConnectionLost) crashCandidate() else null))
+    }
+
+    /** A request that makes endpoints end does so as they begin to answer it. */
+    private fun crashCandidate(): CrashCandidate? =
+        if (isAnswerWellBegun) null else CrashCandidate(request.fingerprint, head.sharedParts, responseHead != null)
+
+    /** Whether the endpoint has gone on with the answer for so long that the request does not make it end. */
+    val isAnswerWellBegun: Boolean get() = firstEventAt.let { it != null && it.elapsedNow() >= StartOfAnswer }
+
+    private fun recordProgress() {
+        val begun = firstEventAt ?: return run { firstEventAt = lastActivity }
+        if (isProven || !isAnswerWellBegun) return
+        recordProof(begun)
+    }
+
+    private fun recordProof(startedAt: ComparableTimeMark) {
+        isProven = true
+        context.crashes.recordAnswer(head.sharedParts, startedAt)
     }
 
     private fun recordActivity() {
@@ -400,5 +422,8 @@
 
         /** Shortest time between two checks of a silent endpoint. */
         val ShortestSilenceCheck = 50.milliseconds
+
+        /** Time from the first event of an answer within which a request ends the endpoint, if it does. */
+        val StartOfAnswer = 1.seconds
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Dialect.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Dialect.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
+import io.quetzalfield.decision.fingerprintOf
 import io.quetzalfield.forwarding.endpoints.EndpointId
 import io.quetzalfield.forwarding.endpoints.EndpointLoad
 import io.quetzalfield.forwarding.endpoints.EndpointStatement
@@ -35,8 +36,22 @@
     val session: SessionId?,
     val lastEventId: Long?,
 ) {
-    /** Ids of the parts that other requests may share; the last part belongs to the request or its session alone. */
-    val sharedParts: List<String> by lazy { prompt.dropLast(1).map(PromptPart::id) }
+    /**
+     * Ids of the parts that other requests may share, the last ones if there are many; the last part of a prompt
+     * belongs to the request or its session alone.
+     */
+    val sharedParts: List<String> by lazy {
+        prompt.dropLast(1).map(PromptPart::id).filter(String::isNotEmpty).distinct().takeLast(MAXIMUM_SHARED_PARTS)
+            .map { if (it.length > LONGEST_PART_ID) fingerprintOf(it).value else it }
+    }
+
+    private companion object {
+        /** Several times the parts of the usual prompts. */
+        const val MAXIMUM_SHARED_PARTS = 16
+
+        /** Characters; longer ids are replaced by their hashes, so that what is kept of them is bounded. */
+        const val LONGEST_PART_ID = 40
+    }
 }
 
 /**
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
@@ -3,17 +3,19 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.quetzalfield.model.HostPort
 import jdk.net.ExtendedSocketOptions
+import java.net.ConnectException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
 /** Why there is no connection to an endpoint. The request has not been sent. */
-public enum class ConnectFailure { REFUSED_OR_TIMED_OUT, LIMIT_REACHED }
+public enum class ConnectFailure { REFUSED, TIMED_OUT, LIMIT_REACHED }
 
 /** A pool of connections to endpoints, by address. Used on the event loop only. */
 public class EndpointConnections(
@@ -55,12 +57,15 @@
         if (connection.channel.isActive) pools.getValue(connection.address).idle.addLast(connection)
     }
 
-    /** Calls [onResult] with whether [address] accepts a connection, and keeps that connection for later requests. */
-    public fun probe(address: HostPort, onResult: (Boolean) -> Unit) {
+    /**
+     * Connects to [address] and calls [onResult] with the failure, or with `null` if it accepts the connection, which
+     * is kept for later requests.
+     */
+    public fun probe(address: HostPort, onResult: (ConnectFailure?) -> Unit) {
         val pool = pools.getOrPut(address, ::Pool)
-        open(address, pool, onFailure = { onResult(false) }) { connection ->
+        open(address, pool, onFailure = onResult) { connection ->
             pool.idle.addLast(connection)
-            onResult(true)
+            onResult(null)
         }
     }
 
@@ -95,11 +100,18 @@
             } else {
                 pool.open--
                 (future as? ChannelFuture)?.channel()?.close()
-                onFailure(ConnectFailure.REFUSED_OR_TIMED_OUT)
+                onFailure(failureOf(future.cause()))
             }
         }
     }
 
+    private fun failureOf(cause: Throwable?): ConnectFailure =
+        if (cause is ConnectException && cause !is ConnectTimeoutException) {
+            ConnectFailure.REFUSED
+        } else {
+            ConnectFailure.TIMED_OUT
+        }
+
     private fun remove(pool: Pool, closed: EndpointConnection) {
         pool.open--
         pool.idle.remove(closed)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -9,6 +9,8 @@
 import io.quetzalfield.forwarding.choice.RolloutSubject
 import io.quetzalfield.forwarding.choice.Work
 import io.quetzalfield.forwarding.configuration.RoutingConfiguration
+import io.quetzalfield.forwarding.crashes.CrashAdmission
+import io.quetzalfield.forwarding.crashes.CrashCandidate
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.ModelId
@@ -154,6 +156,10 @@
         private var connectFailures = 0
         private var model: ModelId? = firstModel()
 
+        /** Whether the next send tries a part of the prompt that is refused otherwise. */
+        private var isTrial = false
+        private val onMoreRefused = ::leaveIfRefused
+
         private val deadlineTimer = context.eventLoop.schedule(request.remaining, ::timeOut)
 
         /** The running attempt. */
@@ -163,7 +169,10 @@
         var attemptsSent = 0
             private set
 
-        fun start() = send()
+        fun start() {
+            context.crashes.addRefusalListener(onMoreRefused)
+            send()
+        }
 
         private fun firstModel(): ModelId? = if (head.isModelOpen && route.models.isNotEmpty()) {
             context.cascade.first(route.models, context.occupancy(service))
@@ -174,7 +183,7 @@
         /** Selects an endpoint for the request and sends it there. */
         private fun send() {
             if (isFinished) return
-            if (isQuarantined()) return giveUp(AnswerReason.QUARANTINED)
+            if (!isAdmitted()) return giveUp(AnswerReason.QUARANTINED)
             val work = Work(model, head.prompt)
             val known = candidates.all
             val placement = context.placement.choose(work, candidates.open(known), context.timeSource.markNow())
@@ -190,8 +199,33 @@
             )
         }
 
-        private fun isQuarantined(): Boolean =
-            context.crashes.hasSuspects && context.crashes.isQuarantined(request.fingerprint)
+        /** Whether the request may be sent, as far as it does not make endpoints end. */
+        private fun isAdmitted(): Boolean {
+            if (isTrial || context.crashes.isEmpty) return true
+            return when (val admission = context.crashes.admission(head.sharedParts) { request.fingerprint }) {
+                CrashAdmission.Allowed -> true
+
+                is CrashAdmission.Trial -> {
+                    isTrial = true
+                    caller.log("crash_trial", "suspect" to admission.suspect)
+                    true
+                }
+
+                is CrashAdmission.Refused -> {
+                    caller.log("crash_refused", "suspect" to admission.suspect)
+                    false
+                }
+            }
+        }
+
+        /** Gives up a request that would be refused now and that its endpoint may be about to begin. */
+        private fun leaveIfRefused() {
+            val current = attempt ?: return
+            if (isFinished || isTrial || current.isAnswerWellBegun) return
+            if (!context.crashes.isRefused(head.sharedParts) { request.fingerprint }) return
+            current.abandon("refused as crashing")
+            giveUp(AnswerReason.QUARANTINED)
+        }
 
         /** Refuses the request; a stream that has begun waits for a short time, as it would be cut otherwise. */
         private fun onNoCandidate(known: List<Endpoint>) {
@@ -209,7 +243,7 @@
             context.returns.delay(service, context.limits.ratePerInstance(candidates.all), request.remaining)
 
         private fun onConnectFailed(endpoint: Endpoint, failure: ConnectFailure) {
-            if (failure == ConnectFailure.REFUSED_OR_TIMED_OUT) endpoint.recordFailure(context.timeSource.markNow())
+            if (failure != ConnectFailure.LIMIT_REACHED) endpoint.recordFailure(context.timeSource.markNow())
             caller.log("connect_failed", "endpoint" to endpoint, "failure" to failure)
             connectFailures++
             if (connectFailures >= CONNECT_FAILURE_LIMIT) return giveUp(AnswerReason.ENDPOINTS_FULL)
@@ -227,6 +261,10 @@
                 connection.abandon()
                 return send()
             }
+            if (!isAdmitted()) {
+                context.connections.release(connection)
+                return giveUp(AnswerReason.QUARANTINED)
+            }
             if (!context.limits.mayReceive(placement.endpoint)) {
                 caller.log("limit_reached", "endpoint" to placement.endpoint)
                 context.connections.release(connection)
@@ -251,6 +289,7 @@
 
         /** Called when the request has its final answer. */
         fun close() {
+            context.crashes.removeRefusalListener(onMoreRefused)
             deadlineTimer.cancel(false)
             if (attemptsSent > 0) head.session?.let { context.sessions.requestEnded(service, it) }
         }
@@ -294,6 +333,7 @@
 
         override fun onEnded(attempt: Attempt, outcome: AttemptOutcome) {
             if (this.attempt === attempt) this.attempt = null
+            isTrial = isTrial && outcome !is AttemptOutcome.Broken && outcome !is AttemptOutcome.Silent
             when (outcome) {
                 is AttemptOutcome.StatedNotRun -> onStatedNotRun()
                 is AttemptOutcome.LowConfidence -> sendToLargerModel(outcome.larger)
@@ -316,15 +356,21 @@
         }
 
         private fun onBroken(endpoint: Endpoint, outcome: AttemptOutcome.Broken) {
-            if (outcome.mayHaveCrashed) recordSuspectedCrash(endpoint)
+            outcome.candidate?.let { recordSuspectedCrash(endpoint, it) }
             val reason = if (progress.hasBegun) RepeatReason.RESUMED else RepeatReason.BROKEN
             if (!tryRepeat(reason, isNewRun = true)) giveUp(AnswerReason.ATTEMPT_FAILED)
         }
 
-        /** Records that the endpoint may have crashed because of the request. */
-        private fun recordSuspectedCrash(endpoint: Endpoint) {
-            context.crashes.recordCrash(request.fingerprint, endpoint.startId)
-            caller.log("crash_suspected", "endpoint" to endpoint, "fingerprint" to request.fingerprint.value)
+        /** Records that the request may have made the endpoint end, unless its end was announced. */
+        private fun recordSuspectedCrash(endpoint: Endpoint, candidate: CrashCandidate) {
+            if (!endpoint.isEligible) return
+            context.crashes.recordLoss(endpoint, candidate)
+            caller.log(
+                "crash_suspected",
+                "endpoint" to endpoint,
+                "fingerprint" to candidate.request.value,
+                "has_begun" to candidate.hasBegun,
+            )
         }
 
         private fun onComplete(endpoint: Endpoint, outcome: AttemptOutcome.Complete) {
@@ -352,7 +398,7 @@
 
         private fun countAnswered(endpoint: Endpoint, answer: ResponseHead) {
             val after = arrivedAt.elapsedNow()
-            if (context.crashes.hasSuspects) context.crashes.recordAnswer(request.fingerprint)
+            context.crashes.recordAnswer { request.fingerprint }
             caller.log(
                 "answered",
                 "status" to answer.status,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -1,7 +1,6 @@
 package io.quetzalfield.forwarding.http
 
 import io.netty.channel.EventLoop
-import io.quetzalfield.decision.CrashQuarantine
 import io.quetzalfield.forwarding.RouterMetrics
 import io.quetzalfield.forwarding.choice.ActiveSessions
 import io.quetzalfield.forwarding.choice.AnswerPace
@@ -16,9 +15,9 @@
 import io.quetzalfield.forwarding.choice.VersionSplit
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
 import io.quetzalfield.forwarding.configuration.Route
+import io.quetzalfield.forwarding.crashes.CrashGuard
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.fleet.VersionObserver
-import io.quetzalfield.model.InstanceId
 import io.quetzalfield.model.ServiceId
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -45,7 +44,7 @@
     public val pace: AnswerPace = AnswerPace(),
     public val placement: EndpointPlacement = LeastWorkPlacement(),
     public val cascade: ModelCascade = ConfidenceCascade(),
-    public val crashes: CrashQuarantine = CrashQuarantine(InstanceId("alone")),
+    public val crashes: CrashGuard = CrashGuard(eventLoop, connections, metrics),
     public val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     public val random: Random = Random.Default,
     public val confirmationBound: Duration? = null,
