Do not take a response without a request id on a used connection for the answer

Report of other operators: a faulty runner wrote an earlier refusal once more on a kept connection, and clients were told that a request had not run that a runner had run. Here a repeated refusal with the id of the earlier request was skipped, and a connection that carried a refusal is closed; but one without an id was accepted as the answer to the request that was sent next: RepeatedRefusalTest, 3 of 9 failed (503 for a request that the endpoint ran, twice, and a repeated 500).

A response without an id is now accepted only as the first of its connection, where there is none that it could repeat. On a used connection the attempt counts as one that may have run, and the connection is closed.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -61,6 +61,10 @@
     private var isReusable = true
     private var requestMethod: HttpMethod = HttpMethod.GET
 
+    /** Whether a response to another request than the present one has been received. */
+    public var hasCarriedResponse: Boolean = false
+        private set
+
     /** The channel; set when connecting starts. */
     public lateinit var channel: Channel
         private set
@@ -123,6 +127,7 @@
         isReusable = HttpUtil.isKeepAlive(response) && isFramed(response)
         keepAliveOf(response)?.let { keepAlive = it }
         isSkipping = !current.onHead(response)
+        hasCarriedResponse = hasCarriedResponse || isSkipping
         if (isSkipping && ++skippedResponses > SKIPPED_RESPONSE_LIMIT) fail("too many responses to other requests")
     }
 
@@ -142,6 +147,7 @@
 
     private fun finish(current: ResponseListener) {
         listener = null
+        hasCarriedResponse = true
         idleSince = timeSource.markNow()
         if (isReusable && isWritten && channel.isActive) onIdle(this) else channel.close()
         current.onEnd()
