Continue a stream with numbered events of its content type only

Report of other operators: a stream had begun and broke off, the next runner answered with an error, and clients found the error's text in the middle of their stream, or the stream ended as if it were complete. Here a complete error answer of the next endpoint (4xx, 5xx, 421, 503) ended the stream as broken off, as it should.

A response continues a stream if it has the content type that the stream began with, and all of its events have numbers; otherwise the attempt is broken and the stream goes on elsewhere or is broken off. A stream that had events without numbers is not continued at all, as it is not known where it stopped.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -68,6 +68,9 @@
     private val route = request.route
     private val head = request.head
     private val sentAt = context.timeSource.markNow()
+
+    /** Whether the answer is to continue a stream that has begun. */
+    private val isContinuation = progress.hasBegun
     private var isPromptUnread = true
     private var isOver = false
     private var response: HttpResponse? = null
@@ -263,6 +266,9 @@
 
     private fun beginStream(decoded: ResponseHead) {
         markPromptRead()
+        if (isContinuation && !progress.isContinuedBy(checkNotNull(response) { "a stream began without a head" })) {
+            return fail("response does not continue the stream")
+        }
         val larger = if (progress.hasBegun || !head.isModelOpen) null else trySelectLargerModel(decoded)
         if (larger == null) {
             splitter = EventSplitter()
@@ -305,9 +311,14 @@
     }
 
     private fun handle(event: StreamEvent) {
-        when (progress.dispositionOf(event)) {
+        when (progress.dispositionOf(event, isContinuation)) {
             EventDisposition.REPEATED -> event.bytes.release()
 
+            EventDisposition.UNNUMBERED -> {
+                event.bytes.release()
+                fail("event without a number after event ${progress.lastEvent}")
+            }
+
             EventDisposition.GAP -> {
                 event.bytes.release()
                 fail("gap in the stream: event ${event.number} after ${progress.lastEvent}")
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -298,6 +298,7 @@
         private fun tryRepeat(reason: RepeatReason, isNewRun: Boolean): Boolean {
             val isAllowed = hasAttemptLeft() &&
                 candidates.hasOpen &&
+                (!progress.hasBegun || progress.isContinuable) &&
                 (!isNewRun || !runs.mayHaveRun || route.isRepeatable) &&
                 context.retryAllowance.trySpend(service)
             if (!isAllowed) return false
@@ -328,8 +329,10 @@
             return larger.takeIf { isAllowed }
         }
 
-        override fun tryLeaveSilentEndpoint(): Boolean =
-            hasAttemptLeft() && candidates.hasOpen && context.retryAllowance.trySpend(service)
+        override fun tryLeaveSilentEndpoint(): Boolean = hasAttemptLeft() &&
+            candidates.hasOpen &&
+            (!progress.hasBegun || progress.isContinuable) &&
+            context.retryAllowance.trySpend(service)
 
         override fun onEnded(attempt: Attempt, outcome: AttemptOutcome) {
             if (this.attempt === attempt) this.attempt = null
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/StreamProgress.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/StreamProgress.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.forwarding.http
 
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
 import io.quetzalfield.model.VersionId
 import kotlin.time.Duration
 
@@ -14,6 +15,9 @@
 
     /** A preceding event is missing, so the event cannot be forwarded. */
     GAP,
+
+    /** The event has no number, so it cannot be known whether it continues what the caller has. */
+    UNNUMBERED,
 }
 
 /**
@@ -34,6 +38,12 @@
     var version: VersionId? = null
         private set
 
+    /** Whether all events of this stream had numbers, so that another endpoint can continue it. */
+    var isContinuable: Boolean = true
+        private set
+
+    private var contentType: String? = null
+
     /** Time from the arrival of the request to the first forwarded event; `null` before that event. */
     var firstEventAfter: Duration? = null
         private set
@@ -43,14 +53,22 @@
         hasBegun = true
         firstEventAfter = after
         this.version = version
+        contentType = head.contentType
         reply.sendStreamHead(head)
     }
 
-    /** Returns what is to be done with [event]. The caller of this function forwards or releases the event. */
-    fun dispositionOf(event: StreamEvent): EventDisposition {
+    /** Whether the response with [head] may continue this stream. */
+    fun isContinuedBy(head: HttpResponse): Boolean = head.contentType == contentType
+
+    /**
+     * Returns what is to be done with [event], which belongs to a later part of the stream if [isContinuation]. The
+     * caller of this function forwards or releases the event.
+     */
+    fun dispositionOf(event: StreamEvent, isContinuation: Boolean = false): EventDisposition {
         val last = lastEvent
         val number = event.number
         return when {
+            number == null && isContinuation -> EventDisposition.UNNUMBERED
             number == null || last == null -> EventDisposition.PASSED
             number <= last -> EventDisposition.REPEATED
             hasBegun && number != last + 1 -> EventDisposition.GAP
@@ -60,7 +78,10 @@
 
     /** Sends [event] to the caller. */
     fun forward(event: StreamEvent) {
-        if (event.number != null) lastEvent = event.number
+        if (event.number != null) lastEvent = event.number else isContinuable = false
         reply.sendStreamContent(event.bytes)
     }
+
+    private val HttpResponse.contentType: String?
+        get() = HttpUtil.getMimeType(this)?.toString()?.trim()?.lowercase()
 }
