--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
@@ -1,8 +1,16 @@
 package io.quetzalfield.forwarding.fleet
 
 import io.quetzalfield.forwarding.choice.HeldSessions
+import io.quetzalfield.forwarding.crashes.BlameReport
+import io.quetzalfield.forwarding.crashes.CrashCandidate
+import io.quetzalfield.forwarding.crashes.CrashNews
+import io.quetzalfield.forwarding.crashes.CrashSuspect
+import io.quetzalfield.forwarding.crashes.LossReport
+import io.quetzalfield.forwarding.crashes.ProofReport
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.RequestFingerprint
+import io.quetzalfield.model.RunnerId
 import io.quetzalfield.model.ServiceId
 import java.util.HexFormat
 import kotlin.test.Test
@@ -102,6 +110,38 @@
         ),
     )
 
+    /** Written by the build that added the field, which older builds skip. */
+    @Test
+    fun `news of crashes`() = assertBytes(
+        "0a120a0766726f6e742d31120773746172742d37" +
+            "1008" +
+            "42620a2a0a0a72756e6e65722d3140351014180122120a04306131621202356512043530623118" +
+            "0122040a02306312070a02356510ac021a190a09706172743a35306231120a72756e6e65722d31" +
+            "403518001a100a0a726571756573743a306318072001",
+        WorkMessage(
+            sender,
+            number = 8,
+            crashes = CrashNews(
+                losses = listOf(
+                    LossReport(
+                        RunnerId("runner-1@5"),
+                        ageMilliseconds = 20,
+                        isConfirmed = true,
+                        candidates = listOf(
+                            CrashCandidate(RequestFingerprint("0a1b"), listOf("5e", "50b1"), hasBegun = true),
+                            CrashCandidate(RequestFingerprint("0c")),
+                        ),
+                    ),
+                ),
+                proofs = listOf(ProofReport("5e", ageMilliseconds = 300)),
+                blames = listOf(
+                    BlameReport(CrashSuspect("part:50b1"), listOf(RunnerId("runner-1@5")), ageMilliseconds = 0),
+                    BlameReport(CrashSuspect("request:0c"), emptyList(), ageMilliseconds = 7, isCleared = true),
+                ),
+            ),
+        ),
+    )
+
     @Test
     fun `a field that a later build adds is skipped`() {
         val bytes = HexFormat.of().parseHex("0a120a0766726f6e742d31120773746172742d37" + "1001" + "4a03616263")
