Let refusals expire without other evidence, and bound what is told again of them

Found by reading. A refusal expired only when a decision was due, which nothing but new evidence leads to: in a fleet that loses no endpoint a request stayed refused for longer than its hour. Each sign of life repeated all decisions, up to 512. Records in the store were written and their lease extended by two threads.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashGuard.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashGuard.kt
@@ -100,8 +100,11 @@
     /** Returns what makes up for lost messages. */
     internal fun recentNews(): CrashNews = ledger.recentNews()
 
-    /** Returns the decisions of this instance, to be kept in the store. */
-    internal fun ownDecisions(): List<BlameReport> = ledger.ownDecisions()
+    /** Returns the decisions of this instance, to be kept in the store. Call it several times per second. */
+    internal fun ownDecisions(): List<BlameReport> {
+        ledger.removeExpired()
+        return ledger.ownDecisions()
+    }
 
     private fun check(endpoint: Endpoint, start: RunnerId) {
         connections.probe(endpoint.description.address) { failure ->
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
@@ -177,11 +177,12 @@
     /** Returns what the others have not been told yet, and forgets it. */
     fun takeNews(): CrashNews = outbox.take(::reportOf)
 
-    /** Returns what makes up for lost messages: own recent evidence, and all that is refused. */
-    fun recentNews(): CrashNews = CrashNews(
-        losses = outbox.recentLosses(),
-        blames = blames.keys.map(::reportOf) + recentlyCleared().map(::reportOf),
-    )
+    /** Returns what makes up for lost messages: own recent evidence, and the newest decisions, those on parts first. */
+    fun recentNews(): CrashNews {
+        val (parts, requests) = (blames.keys + recentlyCleared()).partition(CrashSuspect::isPart)
+        val decisions = parts.takeLast(REPEATED_DECISIONS) + requests.takeLast(REPEATED_DECISIONS)
+        return CrashNews(losses = outbox.recentLosses(), blames = decisions.map(::reportOf))
+    }
 
     /** Returns the decisions of this instance that have stood for a while, to be kept in the store. */
     fun ownDecisions(): List<BlameReport> {
@@ -337,7 +338,8 @@
         return loss
     }
 
-    private fun removeExpired() {
+    /** Removes what is too old to count; refusals that have expired are cleared. */
+    fun removeExpired() {
         val now = timeSource.markNow()
         losses.removeAll { now - it.at >= rules.retention }
         val expired = blames.filter { (suspect, blame) ->
@@ -366,6 +368,9 @@
         const val MAXIMUM_ANSWERED = 4_096
         const val MAXIMUM_BLAMES = 256
 
+        /** Decisions of each kind that are told again and again; more would fill the links of a large fleet. */
+        const val REPEATED_DECISIONS = 16
+
         /** A request is often cleared as soon as a part of its prompt is found to explain its losses. */
         const val SETTLED_PERIODS = 4
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/BlameRecords.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/BlameRecords.kt
@@ -12,7 +12,7 @@
 
 /**
  * Keeps in the store which requests are refused as they make endpoints end, so that an instance that starts knows it
- * even if all instances have ended meanwhile. Each record is written by the instance that decided. Used by one thread.
+ * even if all instances have ended meanwhile. Each record is written by the instance that decided.
  *
  * @param decisions returns the decisions of this instance.
  */
@@ -21,6 +21,7 @@
     private val records = LeasedRecords(store) { lease }
 
     /** Writes what has changed. Call it several times per second. */
+    @Synchronized
     fun publish() {
         val reports = decisions().takeLast(MAXIMUM_RECORDS)
         if (reports.isEmpty()) return
@@ -34,6 +35,7 @@
     }
 
     /** Extends the lease of the records. Call it several times within [TimeToLive]. */
+    @Synchronized
     fun renew() {
         val current = lease ?: return
         if (store.keepAlive(current).getOrElse { return }) return
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashLedgerTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashLedgerTest.kt
@@ -207,6 +207,26 @@
             assertEquals(CrashAdmission.Allowed, ledger.admission(emptyList()) { fatal.request })
         }
 
+        @Test
+        fun `are allowed again after their time when nothing else happens meanwhile`() {
+            val fatal = candidate(request = "fatal")
+            repeat(2) { crash(fatal) }
+            assertIs<CrashAdmission.Refused>(ledger.admission(emptyList()) { fatal.request })
+            time += rules.retention
+            ledger.removeExpired()
+            assertEquals(CrashAdmission.Allowed, ledger.admission(emptyList()) { fatal.request })
+        }
+
+        @Test
+        fun `that are refused are told again in a bounded number of messages`() {
+            repeat(200) { number ->
+                val fatal = candidate(request = "fatal-$number")
+                repeat(2) { crash(fatal) }
+                ledger.admission(emptyList()) { fatal.request }
+            }
+            assertTrue(ledger.recentNews().blames.size <= 32)
+        }
+
         @Test
         fun `are refused on all instances when each lost one endpoint to them`() {
             val fatal = candidate(request = "fatal")
