Do not leave a sound part refused that a fatal one shares its losses with

Cause: while most endpoints are down nothing is answered, so that nothing clears the parts beside the fatal one, and what was refused first explained the losses from then on. CrashLedgerTest: "that were refused first are cleared" failed before, "that a fatal part shares its losses with stay" did not.

A history took a part for sound by the time at which its request came, and not by that at which its answer began; corrected.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/Blame.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/Blame.kt
@@ -8,8 +8,9 @@
  *
  * @property at when the last endpoint ended by it.
  * @property isOwn whether this instance has decided it.
+ * @property wasAnswered whether requests with the suspect were answered before.
  */
-internal class Blame(var at: ComparableTimeMark, val isOwn: Boolean) {
+internal class Blame(var at: ComparableTimeMark, val isOwn: Boolean, private val wasAnswered: Boolean) {
     /** The starts of endpoints that it made end, or the last of them. */
     val endpoints = LinkedHashSet<RunnerId>()
 
@@ -25,8 +26,11 @@
 
     /** When a request may be sent to find out whether endpoints still end by it; later with each trial. */
     fun timeOfTrial(rules: CrashRules): ComparableTimeMark {
-        val isCertain = endpoints.size >= rules.certainCrashes
-        val pause = if (isCertain) rules.certainPause else rules.doubtfulPause
+        val pause = when {
+            endpoints.size < rules.certainCrashes -> rules.doubtfulPause
+            wasAnswered -> rules.answeredCertainPause
+            else -> rules.certainPause
+        }
         return maxOf(at, triedAt ?: at) + pause * (1 shl trials.coerceAtMost(MAXIMUM_DOUBLINGS))
     }
 
@@ -38,6 +42,6 @@
     private companion object {
         /** More than are needed to be certain. */
         const val MAXIMUM_ENDPOINTS = 8
-        const val MAXIMUM_DOUBLINGS = 4
+        const val MAXIMUM_DOUBLINGS = 7
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
@@ -78,7 +78,7 @@
     val timeUntilDecision: Duration?
         get() = when {
             isDecisionDue -> Duration.ZERO
-            else -> qualifiedSince.values.minOrNull()?.let { (it + rules.settling) - timeSource.markNow() }
+            else -> qualifiedSince.keys.minOfOrNull(::timeUntilSettled)
         }
 
     /** Whether [endpoint] is recorded as lost and its loss is not confirmed yet. */
@@ -146,13 +146,26 @@
             val qualified = attribution.qualified(unexplained).filter { CrashSuspect.ofPart(it) !in blames }
             qualifiedSince.keys.retainAll(qualified.toSet())
             qualified.forEach { qualifiedSince.putIfAbsent(it, now) }
-            if (qualifiedSince.values.none { now - it >= rules.settling }) return
-            val part = qualified.first()
+            // The evidence against a part that was answered before may be that against one that is about to settle.
+            val part = qualified.firstOrNull { !wasAnswered(it) } ?: qualified.firstOrNull(::isSettled) ?: return
+            if (!isSettled(part)) return
             blame(CrashSuspect.ofPart(part), unexplained.filter { part in it.parts })
             withdrawExplained()
+            withdrawRedundant()
         }
     }
 
+    private fun wasAnswered(part: String) = part in answeredParts
+
+    private fun wasAnswered(suspect: CrashSuspect) = wasAnswered(suspect.id)
+
+    private fun isSettled(part: String) = timeUntilSettled(part) <= Duration.ZERO
+
+    private fun timeUntilSettled(part: String): Duration {
+        val settling = if (wasAnswered(part)) rules.answeredSettling else rules.settling
+        return qualifiedSince.getValue(part) + settling - timeSource.markNow()
+    }
+
     /** Adds what another instance tells. */
     fun learn(news: CrashNews) {
         val now = timeSource.markNow()
@@ -212,7 +225,7 @@
         val endpoints = report.endpoints - cleared[suspect].orEmpty()
         if (endpoints.isEmpty() || (suspect !in blames && blames.size >= MAXIMUM_BLAMES)) return
         val known = blames[suspect]
-        val blame = known ?: Blame(now - report.ageMilliseconds.age(), isOwn = false)
+        val blame = known ?: Blame(now - report.ageMilliseconds.age(), isOwn = false, wasAnswered(suspect))
         endpoints.forEach(blame::add)
         if (known != null) return
         blames[suspect] = blame
@@ -256,7 +269,7 @@
     }
 
     private fun blame(suspect: CrashSuspect, evidence: List<EndpointLoss>) {
-        val blame = Blame(evidence.maxOf(EndpointLoss::at), isOwn = true)
+        val blame = Blame(evidence.maxOf(EndpointLoss::at), isOwn = true, wasAnswered(suspect))
         evidence.forEach { blame.add(it.endpoint) }
         if (blames.size >= MAXIMUM_BLAMES) blames.remove(blames.keys.first())
         blames[suspect] = blame
@@ -283,7 +296,7 @@
             if (!suspect.isPart) continue
             for (loss in losses) {
                 val isNew = loss.isConfirmed && loss.at > blame.at && loss.endpoint !in blame.endpoints
-                if (!isNew || !loss.fullWeightOf(suspect.value.substringAfter(':'))) continue
+                if (!isNew || !loss.fullWeightOf(suspect.id)) continue
                 blame.add(loss.endpoint)
                 blame.at = loss.at
                 outbox.addDecision(suspect)
@@ -299,6 +312,24 @@
         }
     }
 
+    /**
+     * Clears parts all of whose losses other refused parts explain as well, and these explain more: a sound part that
+     * requests with a fatal one have in common with others.
+     */
+    private fun withdrawRedundant() {
+        val confirmed = losses.filter(EndpointLoss::isConfirmed)
+        val explained = blames.keys.filter(CrashSuspect::isPart)
+            .associateWithTo(LinkedHashMap()) { suspect ->
+                confirmed.filterTo(HashSet()) { it.fullWeightOf(suspect.id) }
+            }
+        for ((suspect, own) in explained.entries.sortedBy { it.value.size }) {
+            val others = explained.filterKeys { it != suspect }.values.flatMapTo(HashSet()) { it }
+            if (own.isEmpty() || others.size == own.size || !others.containsAll(own)) continue
+            explained.remove(suspect)
+            clear(suspect, "explained by another part")
+        }
+    }
+
     private fun isExplained(loss: EndpointLoss): Boolean =
         loss.all.any { loss.weightOf(it) == EndpointLoss.FULL_WEIGHT && it.hasBlamedPart() }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashSuspect.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashSuspect.kt
@@ -10,6 +10,9 @@
     /** Whether this is a part of prompts. */
     public val isPart: Boolean get() = value.startsWith(PART)
 
+    /** The id of the part, or the fingerprint of the request. */
+    public val id: String get() = value.substringAfter(':')
+
     override fun toString(): String = value
 
     public companion object {
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashHistoryTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashHistoryTest.kt
@@ -111,7 +111,7 @@
 
             private fun begin() {
                 beganAt = now
-                if (request.isFatal) {
+                if (request.parts.any { it in crashes } && now - start >= FatalFrom) {
                     after(milliseconds(20..150)) {
                         if (!isOver) {
                             request.parts.filter { it in crashes }.forEach { crashes.getValue(it) += now }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashLedgerTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashLedgerTest.kt
@@ -99,7 +99,7 @@
                 time += 400.milliseconds
                 crash(candidate(FATAL))
             }
-            settle()
+            wait(rules.answeredSettling)
             assertEquals(false, ledger.admits(FATAL))
         }
 
@@ -140,6 +140,41 @@
             assertTrue(ledger.admits(SYSTEM))
         }
 
+        /** The answers that clear them begin after the losses and take a while to show that the endpoint lives on. */
+        @Test
+        fun `that a fatal part shares its losses with stay when it was answered before, too`() {
+            ledger.recordAnswer(listOf(SYSTEM, FATAL), time.markNow())
+            repeat(rules.answeredPartCrashes) {
+                time += 400.milliseconds
+                crash(candidate(SYSTEM, FATAL), candidate(SYSTEM))
+            }
+            ledger.decide()
+            time += 1.milliseconds
+            val startedAt = time.markNow()
+            wait(rules.answeredSettling - 100.milliseconds)
+            ledger.recordAnswer(listOf(SYSTEM), startedAt)
+            wait(100.milliseconds)
+            assertTrue(ledger.admits(SYSTEM))
+            assertEquals(false, ledger.admits(FATAL))
+        }
+
+        @Test
+        fun `that were refused first are cleared when another part explains all of their losses and more`() {
+            repeat(3) {
+                time += 100.milliseconds
+                crash(candidate(FATAL, SUBJECT))
+            }
+            settle()
+            assertEquals(false, ledger.admits(SUBJECT))
+            repeat(3) {
+                time += 100.milliseconds
+                crash(candidate(FATAL, "$SUBJECT$it"))
+            }
+            settle()
+            assertEquals(false, ledger.admits(FATAL))
+            assertTrue(ledger.admits(SUBJECT))
+        }
+
         @Test
         fun `stay when many endpoints are lost at the same time`() {
             ledger.recordAnswer(listOf(SYSTEM, SUBJECT), time.markNow())
