Crashes: wait for the likeliest part before a less likely one is refused

Ruled out: lost messages, the order of the candidates by weight. Change: only the likeliest part is decided on; others wait for it.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
@@ -59,6 +59,9 @@
     private val cleared = RecentMap<CrashSuspect, Set<RunnerId>>(MAXIMUM_BLAMES)
     private val clearedByThis = RecentMap<CrashSuspect, ComparableTimeMark>(MAXIMUM_BLAMES)
     private val qualifiedSince = HashMap<String, ComparableTimeMark>()
+
+    /** The part that is decided on next, as soon as answers had time to clear it. */
+    private var settlingPart: String? = null
     private val attribution = PartAttribution(rules, answeredParts::get)
     private val outbox = CrashOutbox(timeSource)
 
@@ -78,7 +81,7 @@
     val timeUntilDecision: Duration?
         get() = when {
             isDecisionDue -> Duration.ZERO
-            else -> qualifiedSince.keys.minOfOrNull(::timeUntilSettled)
+            else -> settlingPart?.let(::timeUntilSettled)
         }
 
     /** Whether [endpoint] is recorded as lost and its loss is not confirmed yet. */
@@ -137,6 +140,7 @@
     /** Decides which parts are refused. Call it after [timeUntilDecision], which evidence changes. */
     fun decide() {
         isDecisionDue = false
+        settlingPart = null
         removeExpired()
         addToBlames()
         while (true) {
@@ -146,9 +150,12 @@
             val qualified = attribution.qualified(unexplained).filter { CrashSuspect.ofPart(it) !in blames }
             qualifiedSince.keys.retainAll(qualified.toSet())
             qualified.forEach { qualifiedSince.putIfAbsent(it, now) }
-            // The evidence against a part that was answered before may be that against one that is about to settle.
-            val part = qualified.firstOrNull { !wasAnswered(it) } ?: qualified.firstOrNull(::isSettled) ?: return
-            if (!isSettled(part)) return
+            // One that has settled has to wait for a likelier one, which may explain the evidence against it.
+            val part = qualified.firstOrNull() ?: return
+            if (!isSettled(part)) {
+                settlingPart = part
+                return
+            }
             blame(CrashSuspect.ofPart(part), unexplained.filter { part in it.parts })
             withdrawExplained()
             withdrawRedundant()
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashLedgerTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashLedgerTest.kt
@@ -158,6 +158,28 @@
             assertEquals(false, ledger.admits(FATAL))
         }
 
+        /** The sound part lost an endpoint more at first, so that there is enough against it a while earlier. */
+        @Test
+        fun `that qualify first are not refused while another part explains more`() {
+            ledger.recordAnswer(listOf(SYSTEM, FATAL), time.markNow())
+            time += 400.milliseconds
+            crash(candidate(SYSTEM))
+            repeat(3) {
+                time += 400.milliseconds
+                crash(candidate(SYSTEM, FATAL))
+            }
+            ledger.decide()
+            repeat(2) {
+                time += 400.milliseconds
+                crash(candidate(SUBJECT, FATAL))
+                ledger.decide()
+            }
+            wait(250.milliseconds)
+            assertTrue(ledger.admits(SYSTEM))
+            wait(rules.answeredSettling)
+            assertEquals(listOf(true, false), listOf(SYSTEM, FATAL).map { ledger.admits(it) })
+        }
+
         @Test
         fun `that were refused first are cleared when another part explains all of their losses and more`() {
             repeat(3) {
