Crashes: trials at instances that were told of a refusal, and at the next one in order

Cause (reading): an instance that had not answered a part itself took a refusal that it was told of for one of a part that was never answered, so that it waited 5 minutes for a trial and not 15 s; and only the first instance in the rendezvous order of the part made trials, also if it was cut off or got no request with the part. Change: a refusal says whether its part was answered before, and which trials were made; an instance of a later rank waits that many times longer, and trials of any instance put off those of all. Kept in the store with the refusal. Three fields are new at the end of the report; older builds skip them. Three tests of CrashLedgerTest failed before; WorkMessageBytesTest has the bytes.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -72,7 +72,7 @@
     private val sessionHolds = SessionHolds()
     private val limits = EndpointLimits(timeSource) { members.sharers }
     private val connections = EndpointConnections(eventLoop, timeSource, metrics::countConnection)
-    private val crashes = CrashGuard(eventLoop, connections, metrics, timeSource, ::isTrialHolder)
+    private val crashes = CrashGuard(eventLoop, connections, metrics, timeSource, ::trialRank)
     private val context = RoutingContext(
         eventLoop = eventLoop,
         configuration = ConfigurationHolder(timeSource),
@@ -202,11 +202,11 @@
         return PlainAnswer(STATUS_OK, format.contentType, buffer.toByteArray())
     }
 
-    /** Whether this instance is the only one that may try whether endpoints still end by [suspect]. */
-    private fun isTrialHolder(suspect: CrashSuspect): Boolean {
+    /** Place of this instance among those that may try whether endpoints still end by [suspect]. */
+    private fun trialRank(suspect: CrashSuspect): Int {
         val sharers = members.sharers
-        return sharers.own != null &&
-            rendezvousOrder(suspect.value, sharers.all, InstanceId::value).first() == sharers.own
+        val rank = rendezvousOrder(suspect.value, sharers.all, InstanceId::value).indexOf(sharers.own)
+        return if (rank < 0) sharers.all.size else rank
     }
 
     private fun updateOrders(current: List<RolloutOrder>) {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashGuard.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashGuard.kt
@@ -19,16 +19,16 @@
  * the loss of an endpoint by a connection that it refuses: a link that is cut, or connections that are reset, close
  * connections too. Used on the event loop only.
  *
- * @param isTrialHolder whether this instance is the one that may try a refused part again.
+ * @param trialRank place of this instance among those that may try a refused part again, 0 for the first.
  */
 public class CrashGuard(
     private val eventLoop: EventLoop,
     private val connections: EndpointConnections,
     private val metrics: RouterMetrics,
-    timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
-    isTrialHolder: (CrashSuspect) -> Boolean = { true },
+    private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    trialRank: (CrashSuspect) -> Int = { 0 },
 ) {
-    private val ledger = CrashLedger(timeSource, listener = Listener(), isTrialHolder = isTrialHolder)
+    private val ledger = CrashLedger(timeSource, listener = Listener(), trialRank = trialRank)
     private val checks = HashSet<RunnerId>()
     private val refusalListeners = LinkedHashSet<() -> Unit>()
     private var isDecisionScheduled = false
@@ -75,8 +75,11 @@
     }
 
     /** Whether a request with [parts] may be sent. */
-    internal fun admission(parts: List<String>, request: () -> RequestFingerprint): CrashAdmission =
-        ledger.admission(parts, request)
+    internal fun admission(parts: List<String>, request: () -> RequestFingerprint): CrashAdmission {
+        val admission = ledger.admission(parts, request)
+        if (admission is CrashAdmission.Trial) tellNews()
+        return admission
+    }
 
     /** Whether a request with [parts] that was sent already would be refused now. */
     internal fun isRefused(parts: List<String>, request: () -> RequestFingerprint): Boolean =
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
@@ -38,13 +38,13 @@
  *
  * Used by one thread, such as an event loop.
  *
- * @param isTrialHolder whether this instance is the one that may try a refused part again.
+ * @param trialRank place of this instance among those that may try a refused part again, 0 for the first.
  */
 internal class CrashLedger(
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     private val rules: CrashRules = CrashRules(),
     private val listener: CrashListener = NoListener,
-    private val isTrialHolder: (CrashSuspect) -> Boolean = { true },
+    private val trialRank: (CrashSuspect) -> Int = { 0 },
 ) {
     /** In the order of their times. */
     private val losses = ArrayList<EndpointLoss>()
@@ -218,7 +218,14 @@
     private fun reportOf(suspect: CrashSuspect): BlameReport {
         val blame = blames[suspect]
             ?: return BlameReport(suspect, cleared[suspect].orEmpty().toList(), ageMilliseconds = 0, isCleared = true)
-        return BlameReport(suspect, blame.endpoints.toList(), blame.at.elapsedNow().inWholeMilliseconds)
+        return BlameReport(
+            suspect = suspect,
+            endpoints = blame.endpoints.toList(),
+            ageMilliseconds = blame.at.elapsedNow().inWholeMilliseconds,
+            wasAnswered = blame.wasAnswered,
+            trials = blame.trials,
+            trialAgeMilliseconds = blame.triedAt?.elapsedNow()?.inWholeMilliseconds ?: 0,
+        )
     }
 
     private fun learn(report: BlameReport, now: ComparableTimeMark) {
@@ -234,6 +241,8 @@
         val known = blames[suspect]
         val blame = known ?: Blame(now - report.ageMilliseconds.age(), isOwn = false, wasAnswered(suspect))
         endpoints.forEach(blame::add)
+        blame.wasAnswered = blame.wasAnswered || report.wasAnswered
+        blame.learnTrials(report.trials, now - report.trialAgeMilliseconds.age())
         if (known != null) return
         blames[suspect] = blame
         listener.onBlamed(suspect, blame.endpoints, blame.at.elapsedNow(), isLearned = true)
@@ -269,8 +278,8 @@
         val suspect = suspects.first()
         val blame = blames.getValue(suspect)
         blame.refusedAt = now
-        val isTrialDue = suspects.size == 1 && blame.timeOfTrial(rules) <= now && isTrialHolder(suspect)
-        if (!isTrialDue) return CrashAdmission.Refused(suspect)
+        if (suspects.size > 1 || blame.timeOfTrial(rules) > now) return CrashAdmission.Refused(suspect)
+        if (blame.timeOfTrial(rules, trialRank(suspect)) > now) return CrashAdmission.Refused(suspect)
         blame.recordTrial(now)
         return CrashAdmission.Trial(suspect)
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashNews.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashNews.kt
@@ -40,6 +40,9 @@
  *
  * @property endpoints the starts of endpoints that it made end.
  * @property ageMilliseconds time since the last of these ended.
+ * @property wasAnswered whether requests with it were answered before.
+ * @property trials requests with it that were sent since it is refused, to find out whether endpoints still end by it.
+ * @property trialAgeMilliseconds time since the last trial; 0 if there was none.
  */
 @Serializable
 internal data class BlameReport(
@@ -47,6 +50,9 @@
     val endpoints: List<RunnerId>,
     val ageMilliseconds: Long,
     val isCleared: Boolean = false,
+    val wasAnswered: Boolean = false,
+    val trials: Int = 0,
+    val trialAgeMilliseconds: Long = 0,
 )
 
 /** What an instance tells the others about requests that make endpoints end. Ages are relative, as clocks differ. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/BlameRecords.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/BlameRecords.kt
@@ -28,7 +28,7 @@
         if (lease == null) lease = store.grantLease(TimeToLive).getOrElse { return }
         for (report in reports) {
             val key = FleetKeys.blame(fingerprintOf(report.suspect.value))
-            records.publish(key, report.copy(ageMilliseconds = 0)) {
+            records.publish(key, report.copy(ageMilliseconds = 0, trialAgeMilliseconds = 0)) {
                 PlatformJson.encodeToString(BlameReport.serializer(), report)
             }
         }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashHistoryTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashHistoryTest.kt
@@ -138,7 +138,7 @@
             var lastTrouble = start - 1.seconds * 60
             private var isTellDue = false
 
-            private fun newLedger() = CrashLedger(time, isTrialHolder = { holderOf(it) === this })
+            private fun newLedger() = CrashLedger(time, trialRank = { (number - it.hashCode()).mod(size) })
 
             private fun isInContact() = !isCut && now - lastTrouble >= Contact
 
@@ -214,8 +214,6 @@
             }
         }
 
-        private fun holderOf(suspect: CrashSuspect) = instances[suspect.hashCode().mod(size)]
-
         /** Whether twice the time of contact has passed since the fifth crash by each fatal part. */
         private fun isLate(): Boolean =
             crashes.isNotEmpty() && crashes.values.all { it.size >= 5 && now - it[4] >= Contact * 2 }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashLedgerTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashLedgerTest.kt
@@ -24,7 +24,7 @@
     private var requests = 0
     private var endpoints = 0
 
-    private fun ledger(isTrialHolder: Boolean = true) = CrashLedger(time, rules, isTrialHolder = { isTrialHolder })
+    private fun ledger(trialRank: Int = 0) = CrashLedger(time, rules, trialRank = { trialRank })
 
     private fun candidate(vararg parts: String, hasBegun: Boolean = true, request: String = "request-${++requests}") =
         CrashCandidate(RequestFingerprint(request), parts.toList(), hasBegun)
@@ -317,7 +317,7 @@
             wait(rules.doubtfulPause)
             assertIs<CrashAdmission.Trial>(admissions.first())
             assertIs<CrashAdmission.Refused>(admissions.first())
-            val other = ledger(isTrialHolder = false)
+            val other = ledger(trialRank = 1)
             other.learn(ledger.takeNews())
             wait(rules.doubtfulPause, other)
             assertEquals(false, other.admits(FATAL))
@@ -348,6 +348,57 @@
             assertTrue(sinceFifth <= 3, "$sinceFifth trials in ten minutes after the fifth crash")
         }
 
+        /** A part that was answered before [CrashRules.certainCrashes] endpoints ended by requests with it. */
+        private fun blameAnsweredPart() {
+            ledger.recordAnswer(listOf(FATAL), time.markNow())
+            repeat(rules.certainCrashes) {
+                time += 400.milliseconds
+                crash(candidate(FATAL))
+            }
+            wait(rules.answeredSettling)
+            assertIs<CrashAdmission.Refused>(admissions.first())
+        }
+
+        @Test
+        fun `come as soon at an instance that was told that the part was answered before`() {
+            blameAnsweredPart()
+            val holder = ledger()
+            holder.learn(ledger.recentNews())
+            val started = ledger()
+            started.learn(CrashNews(blames = ledger.ownDecisions()))
+            time += rules.answeredCertainPause
+            listOf(holder, started).forEach {
+                assertIs<CrashAdmission.Trial>(it.admission(listOf(FATAL)) { RequestFingerprint("x") })
+            }
+        }
+
+        @Test
+        fun `are made by the next instance when the first one gets no request or is cut off`() {
+            blameAnsweredPart()
+            val second = ledger(trialRank = 1)
+            val third = ledger(trialRank = 2)
+            listOf(second, third).forEach { it.learn(ledger.recentNews()) }
+            time += rules.answeredCertainPause * 2 - rules.answeredSettling - 1.seconds
+            assertEquals(false, second.admits(FATAL))
+            time += 1.seconds
+            assertEquals(false, third.admits(FATAL))
+            assertIs<CrashAdmission.Trial>(second.admission(listOf(FATAL)) { RequestFingerprint("x") })
+        }
+
+        @Test
+        fun `that one instance makes put off those of the others`() {
+            blameAnsweredPart()
+            val second = ledger(trialRank = 1)
+            second.learn(ledger.recentNews())
+            time += rules.answeredCertainPause
+            assertIs<CrashAdmission.Trial>(admissions.first())
+            second.learn(ledger.takeNews())
+            time += rules.answeredCertainPause * 3
+            assertEquals(false, second.admits(FATAL))
+            time += rules.answeredCertainPause
+            assertIs<CrashAdmission.Trial>(second.admission(listOf(FATAL)) { RequestFingerprint("x") })
+        }
+
         @Test
         fun `go on for as long as requests come`() {
             blameFatalPart()
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
@@ -142,6 +142,29 @@
         ),
     )
 
+    /** Fields of a refusal that were added later, and that older builds skip. */
+    @Test
+    fun `a refusal with its trials`() = assertBytes(
+        "0a120a0766726f6e742d31120773746172742d37" + "1009" +
+            "42221a200a09706172743a35306231120a72756e6e65722d314035180028013002389c01",
+        WorkMessage(
+            sender,
+            number = 9,
+            crashes = CrashNews(
+                blames = listOf(
+                    BlameReport(
+                        CrashSuspect("part:50b1"),
+                        listOf(RunnerId("runner-1@5")),
+                        ageMilliseconds = 0,
+                        wasAnswered = true,
+                        trials = 2,
+                        trialAgeMilliseconds = 156,
+                    ),
+                ),
+            ),
+        ),
+    )
+
     @Test
     fun `a field that a later build adds is skipped`() {
         val bytes = HexFormat.of().parseHex("0a120a0766726f6e742d31120773746172742d37" + "1001" + "4a03616263")
