Crashes: a loss that is reported late again is one loss

Cause (reading): losses of one start of an endpoint were one if within five seconds. A message that was held up, or the report of a process whose clock had stopped, came in as a second loss, so that two endpoints could count as four. Change: a loss of the same start with the same candidates is the same. CrashLedgerTest failed before: two such reports refused the part.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
@@ -186,7 +186,7 @@
     }
 
     private fun learn(report: LossReport, now: ComparableTimeMark) {
-        val loss = lossOf(report.endpoint, now - report.ageMilliseconds.age())
+        val loss = lossOf(report.endpoint, now - report.ageMilliseconds.age(), report.candidates)
         val added = report.candidates.filter(loss::add)
         added.forEach { offerAnswers(it.parts) }
         val isNewlyConfirmed = report.isConfirmed && !loss.isConfirmed
@@ -281,6 +281,7 @@
         if (suspects.size > 1 || blame.timeOfTrial(rules) > now) return CrashAdmission.Refused(suspect)
         if (blame.timeOfTrial(rules, trialRank(suspect)) > now) return CrashAdmission.Refused(suspect)
         blame.recordTrial(now)
+        outbox.addDecision(suspect)
         return CrashAdmission.Trial(suspect)
     }
 
@@ -374,10 +375,19 @@
 
     private val requestThreshold: Int get() = rules.requestCrashes * EndpointLoss.FULL_WEIGHT
 
+    private fun EndpointLoss.holdsAll(candidates: List<CrashCandidate>) = candidates.all { find(it.request) != null }
+
     private fun newestLoss(endpoint: RunnerId): EndpointLoss? = losses.lastOrNull { it.endpoint == endpoint }
 
-    private fun lossOf(endpoint: RunnerId, at: ComparableTimeMark): EndpointLoss {
-        val known = losses.lastOrNull { it.endpoint == endpoint && (at - it.at).absoluteValue < rules.sameLoss }
+    /** The loss of [endpoint] at [at]. One with the same [candidates] is the same, reported with a wrong age. */
+    private fun lossOf(
+        endpoint: RunnerId,
+        at: ComparableTimeMark,
+        candidates: List<CrashCandidate> = emptyList(),
+    ): EndpointLoss {
+        val ofEndpoint = losses.filter { it.endpoint == endpoint }
+        val known = ofEndpoint.lastOrNull { (at - it.at).absoluteValue < rules.sameLoss }
+            ?: ofEndpoint.lastOrNull { candidates.isNotEmpty() && it.holdsAll(candidates) }
         if (known != null) return known
         if (losses.size >= MAXIMUM_LOSSES) losses.remove(losses.firstOrNull { !it.isConfirmed } ?: losses.first())
         val loss = EndpointLoss(endpoint, at)
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashLedgerTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/crashes/CrashLedgerTest.kt
@@ -440,6 +440,21 @@
             assertTrue(started.admits(FATAL))
         }
 
+        /** As a process that was stopped does, or one whose messages were held up. */
+        @Test
+        fun `a loss that is reported late again is counted once`() {
+            val others = List(2) { ledger() }
+            val reports = others.map { other ->
+                crash(candidate(SYSTEM, FATAL), ledger = other)
+                other.takeNews()
+            }
+            reports.forEach(ledger::learn)
+            time += rules.sameLoss * 2
+            reports.forEach(ledger::learn)
+            settle()
+            assertTrue(ledger.admits(FATAL))
+        }
+
         @Test
         fun `answers that others know of clear a part before it is refused`() {
             val other = ledger()
