A repeat that is refused as crashing takes nothing of the retry budget

Cause (reading): the budget was spent, and the repeat logged and counted, before the request was found to be refused. Change: the repeat is given back.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RetryAllowance.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RetryAllowance.kt
@@ -57,6 +57,11 @@
         return isAllowed
     }
 
+    /** Takes the last [trySpend] for [service] back, as nothing was sent. */
+    public fun giveBack(service: ServiceId) {
+        windowOf(service).repeats.removeLastOrNull()
+    }
+
     private fun windowOf(service: ServiceId): Window {
         val window = windows.getOrPut(service, ::Window)
         val now = timeSource.markNow()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -294,7 +294,7 @@
             if (attemptsSent > 0) head.session?.let { context.sessions.requestEnded(service, it) }
         }
 
-        /** Sends the request again and returns `true`, if the route and the retry budget allow it. */
+        /** Sends the request again, or refuses it, and returns `true`, if the route and the retry budget allow it. */
         private fun tryRepeat(reason: RepeatReason, isNewRun: Boolean): Boolean {
             val isAllowed = hasAttemptLeft() &&
                 candidates.hasOpen &&
@@ -302,6 +302,11 @@
                 (!isNewRun || !runs.mayHaveRun || route.isRepeatable) &&
                 context.retryAllowance.trySpend(service)
             if (!isAllowed) return false
+            if (!isAdmitted()) {
+                context.retryAllowance.giveBack(service)
+                giveUp(AnswerReason.QUARANTINED)
+                return true
+            }
             caller.log("repeat", "reason" to reason, "attempts" to attemptsSent, "remaining" to request.remaining)
             sendAgain(reason)
             return true
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RetryAllowanceTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RetryAllowanceTest.kt
@@ -32,6 +32,14 @@
         assertEquals(slackOnly, allowance.spendAll())
     }
 
+    @Test
+    fun `a repeat that was given back may be spent again, once`() {
+        val allowance = RetryAllowance(bounds, TestTimeSource()) { 1 }
+        allowance.spendAll()
+        allowance.giveBack(service)
+        assertEquals(1, allowance.spendAll())
+    }
+
     @Test
     fun `the rate at all instances is estimated from the requests of one, also soon after the first`() {
         val timeSource = TestTimeSource()
