A forwarded request that its sender has given up is neither run on nor billed

Cause, by the kept histories: an entry that gets no acknowledgement of a forwarded request within a second cancels the call and runs the request itself. The home began it later all the same: a cancelled call reports no error as long as its handler runs, so that it ran to its end and was billed, often on another version. Ruled out: bills lost or doubled (the numbers of answers are right). Change: the channel to the sender looks at the call before each write, before it acknowledges, and at each token of an answer that is sent as a whole. The router is not touched.

--- a/entry/src/main/kotlin/io/quetzalfield/entry/AnswerChannel.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/AnswerChannel.kt
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString
 import io.grpc.StatusRuntimeException
+import io.grpc.stub.ServerCallStreamObserver
 import io.grpc.stub.StreamObserver
 import io.javalin.http.Context
 import io.quetzalfield.model.RequestFailure
@@ -23,6 +24,14 @@
      * @throws CallerDisconnectedException if the sender of the request has disconnected.
      */
     fun write(bytes: ByteArray)
+
+    /**
+     * Checks for an answer that is sent as a whole that its receiver is still there, as far as that is known without
+     * a write.
+     *
+     * @throws CallerDisconnectedException if the sender of the request has disconnected.
+     */
+    fun requireConnected(): Unit = Unit
 }
 
 /** Writes the answer to the caller's connection. */
@@ -47,7 +56,11 @@
     }
 }
 
-/** Streams the answer to the entry that forwarded the request. */
+/**
+ * Streams the answer to the entry that forwarded the request. That entry runs the request itself once it has cancelled
+ * the call, so that the run here must not be billed. A cancelled call reports no error on its own as long as its handler
+ * runs.
+ */
 internal class PeerAnswerChannel(private val observer: StreamObserver<ForwardReply>) : AnswerChannel {
     override var hasStarted: Boolean = false
         private set
@@ -57,11 +70,20 @@
         send(ForwardReply.newBuilder().setStatus(status).putAllHeaders(headers).build())
     }
 
+    /** Tells the sender that its request is being run. */
+    fun acknowledge(): Unit = send(ForwardReply.getDefaultInstance())
+
     override fun write(bytes: ByteArray) {
         send(ForwardReply.newBuilder().setBody(ByteString.copyFrom(bytes)).build())
     }
 
+    override fun requireConnected() {
+        val isCancelled = (observer as? ServerCallStreamObserver)?.isCancelled ?: false
+        if (isCancelled) throw CallerDisconnectedException(IOException("the call was cancelled"))
+    }
+
     private fun send(reply: ForwardReply) {
+        requireConnected()
         try {
             observer.onNext(reply)
         } catch (error: StatusRuntimeException) {
--- a/entry/src/main/kotlin/io/quetzalfield/entry/CompletionWriter.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/CompletionWriter.kt
@@ -31,6 +31,7 @@
     override fun onToken(text: String) {
         val offset = tokens++
         if (!isStreamed) {
+            channel.requireConnected()
             collected.append(text)
             return
         }
--- a/entry/src/main/kotlin/io/quetzalfield/entry/ForwardedRequests.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ForwardedRequests.kt
@@ -28,8 +28,8 @@
     override fun run(request: ForwardRequest, observer: StreamObserver<ForwardReply>) {
         val isRun = gate.enter {
             try {
-                observer.onNext(ForwardReply.getDefaultInstance())
-                runHere(request, PeerAnswerChannel(observer))
+                val channel = PeerAnswerChannel(observer).apply(PeerAnswerChannel::acknowledge)
+                runHere(request, channel)
                 observer.onCompleted()
             } catch (_: CallerDisconnectedException) {
                 observer.onError(Status.CANCELLED.asException())
--- a/entry/src/test/kotlin/io/quetzalfield/entry/EmbeddedFleet.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/EmbeddedFleet.kt
@@ -108,6 +108,7 @@
         routing = learningRouting(),
         allowance = allowance,
     )
+    private val ledger = BillLedger(incarnation, InMemoryKeyValueStore())
     private val service = CompletionService(
         routeChooser = routeChooser,
         admission = control.admission,
@@ -119,7 +120,7 @@
         ),
         rollouts = control.rollouts,
         answers = control.answers,
-        ledger = BillLedger(incarnation, InMemoryKeyValueStore()),
+        ledger = ledger,
         metrics = EntryMetrics(),
     )
     private val crashed = ConcurrentLinkedQueue<Int>()
@@ -175,6 +176,13 @@
         runners.forEach { it.setFaults(faults) }
     }
 
+    /** The number of answers that were billed. */
+    val billedAnswers: Long get() = ledger.totals(ClientAccountId("account")).answers
+
+    /** Requests an answer for [sink]. */
+    fun ask(sink: CompletionSink): Either<RequestFailure, CompletionReport> =
+        service.complete(call(request("question"), null), sink)
+
     /** Requests a long answer and disconnects after [tokens] tokens. */
     fun askAndDisconnect(tokens: Int) {
         var received = 0
