--- a/entry/src/main/kotlin/io/quetzalfield/entry/AnswerChannel.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/AnswerChannel.kt
@@ -57,9 +57,8 @@
 }
 
 /**
- * Streams the answer to the entry that forwarded the request. That entry runs the request itself once it has cancelled
- * the call, so that the run here must not be billed. A cancelled call reports no error on its own as long as its handler
- * runs.
+ * Streams the answer to the entry that forwarded the request. Once that entry has cancelled the call, it runs the
+ * request itself, so that the run here must not be billed. A cancelled call reports no error while its handler runs.
  */
 internal class PeerAnswerChannel(private val observer: StreamObserver<ForwardReply>) : AnswerChannel {
     override var hasStarted: Boolean = false
