--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -37,9 +37,16 @@
     }
 
     private final Record record;
+    /** Further header lines of each request, each with its line end. */
+    private final String headers;
 
     Client(Record record) {
+        this(record, "");
+    }
+
+    Client(Record record, String headers) {
         this.record = record;
+        this.headers = headers;
     }
 
     /** A connection that a client keeps for several requests. */
@@ -105,7 +112,7 @@
         throws IOException {
         byte[] body = method.equals("POST") ? ("order " + attempt.id).getBytes(StandardCharsets.UTF_8) : new byte[0];
         String text = method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + attempt.id
-            + "\r\nX-Deadline-Ms: " + deadlineMs + "\r\n"
+            + "\r\nX-Deadline-Ms: " + deadlineMs + "\r\n" + headers
             + (attempt.key == null ? "" : "Authorization: Bearer " + attempt.key + "\r\n")
             + (method.equals("POST") ? "Content-Length: " + body.length + "\r\n" : "") + "\r\n";
         byte[] head = text.getBytes(StandardCharsets.ISO_8859_1);
--- a/review/standins/RunnerStandIn.java
+++ b/review/standins/RunnerStandIn.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A sound runner of a plain service, which registers itself in the store. */
+/** A sound runner of a plain service or, with events, of a model engine. It registers itself in the store. */
 final class RunnerStandIn {
     /** A request that reached this runner, and what became of it. */
     static final class Arrival {
@@ -19,6 +19,7 @@
         String id;
         String tenant;
         String path;
+        String session;
         double at;
         volatile double beganAt = -1;
         volatile double endedAt = -1;
@@ -43,12 +44,24 @@
     /** Shortest and longest time of work on one request. */
     volatile int workFromMs = 20;
     volatile int workToMs = 60;
+    /** The version of its software. */
+    final String version;
+    /** Events of an answer; 0 for a plain answer. */
+    volatile int events = 0;
     private volatile boolean isLeaving;
     private volatile boolean isRegistered = true;
     private volatile boolean hasEnded;
 
     RunnerStandIn(Record record, StoreStandIn store, String host, String id, String service, String zone, int slots, int queue)
         throws IOException {
+        this(record, store, host, id, service, zone, slots, queue, "v1");
+    }
+
+    RunnerStandIn(
+        Record record, StoreStandIn store, String host, String id, String service, String zone, int slots, int queue,
+        String version
+    ) throws IOException {
+        this.version = version;
         this.record = record;
         this.store = store;
         this.id = id;
@@ -96,7 +109,7 @@
         if (!isRegistered) return;
         String address = listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
         store.put("servers/" + id, "{\"service\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone
-            + "\",\"version\":\"v1\",\"capacity\":" + slots + ",\"state\":\"" + (isLeaving ? "draining" : "ready")
+            + "\",\"version\":\"" + version + "\",\"capacity\":" + slots + ",\"state\":\"" + (isLeaving ? "draining" : "ready")
             + "\",\"cold_left_ms\":0,\"born\":" + born + ",\"seqno\":" + seqno.incrementAndGet() + "}");
     }
 
@@ -166,6 +179,7 @@
         arrival.id = requestId;
         arrival.tenant = request.header("X-Tenant");
         arrival.path = request.path();
+        arrival.session = request.header("Session");
         arrival.at = record.now();
         arrivals.add(arrival);
         String own = "X-Request-Id: " + requestId + "\r\n";
@@ -174,6 +188,10 @@
             write(out, "503 Service Unavailable", own + "X-Not-Run: 1\r\n", "");
             return;
         }
+        if (events > 0) {
+            stream(arrival, own, request.header("Last-Event-Id"), out);
+            return;
+        }
         try {
             arrival.beganAt = record.now();
             Thread.sleep(workFromMs + (long) (Math.random() * (workToMs - workFromMs + 1)));
@@ -188,6 +206,34 @@
         write(out, "200 OK", own + "X-Server-Stamp: " + id + "." + requestId + "\r\n", "done " + requestId + " at " + id);
     }
 
+    /** Answers with a stream of events in chunks, from the event after [last] on. */
+    private void stream(Arrival arrival, String own, String last, OutputStream out) throws IOException {
+        try {
+            int first = last == null ? 1 : Integer.parseInt(last) + 1;
+            Thread.sleep(workFromMs + (long) (Math.random() * (workToMs - workFromMs + 1)));
+            arrival.beganAt = record.now();
+            String head = "HTTP/1.1 200 OK\r\n" + own + "X-Server-Stamp: " + id + "." + arrival.id + "\r\nContent-Type: text/event-stream\r\n"
+                + "X-Confidence: 90\r\nX-Weight-Versions: " + version.substring(1) + "\r\nX-Instance-Load: " + running + "," + waiting + "," + slots + "\r\n"
+                + "Keep-Alive: timeout=15\r\nTransfer-Encoding: chunked\r\n\r\n";
+            out.write(head.getBytes(StandardCharsets.ISO_8859_1));
+            for (int number = first; number <= events; number++) {
+                if (hasEnded) throw new IOException("the runner has ended");
+                String event = "id: " + number + "\ndata: piece " + number + " of " + arrival.id + "\n\n";
+                out.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+                out.flush();
+                Thread.sleep(20);
+            }
+            out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+            arrival.endedAt = record.now();
+            arrival.end = "done";
+        } catch (InterruptedException error) {
+            throw new IOException(error);
+        } finally {
+            freeSlot();
+        }
+    }
+
     private boolean takeSlot() {
         synchronized (freed) {
             if (running.get() >= slots && waiting.get() >= queue) return false;
--- a/review/standins/Scenario.java
+++ b/review/standins/Scenario.java
@@ -36,14 +36,19 @@
         System.exit(status);
     }
 
-    /** A configuration with one route to the service `visit-desk`, for bookings. */
+    /** A configuration with routes to `visit-desk` for bookings and look-ups, and to `plant-advisor` for streams. */
     static String configuration(int version, String tenants) {
         return "{\"version\":" + version + ",\"routes\":["
             + "{\"name\":\"r-booking\",\"host\":\"visits.example\",\"prefix\":\"/book/\",\"kind\":\"non_idempotent\","
             + "\"timeout_ms\":3000,\"slo_ms\":193,\"priority\":2,\"service\":\"visit-desk\",\"attempts\":1,\"public\":false},"
             + "{\"name\":\"r-lookup\",\"host\":\"visits.example\",\"prefix\":\"/look/\",\"kind\":\"idempotent\","
-            + "\"timeout_ms\":3000,\"slo_ms\":193,\"priority\":2,\"service\":\"visit-desk\",\"attempts\":2,\"public\":false}],"
-            + "\"services\":[{\"name\":\"visit-desk\",\"health_path\":\"/healthz\",\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false}],"
+            + "\"timeout_ms\":3000,\"slo_ms\":193,\"priority\":2,\"service\":\"visit-desk\",\"attempts\":2,\"public\":false},"
+            + "{\"name\":\"r-plan\",\"host\":\"visits.example\",\"prefix\":\"/plan/\",\"kind\":\"streaming\","
+            + "\"timeout_ms\":12000,\"slo_ms\":3000,\"priority\":1,\"service\":\"plant-advisor\",\"attempts\":3,\"public\":false,"
+            + "\"sticky\":true,\"resumable\":true,\"gap_aim_ms\":2000}],"
+            + "\"services\":[{\"name\":\"visit-desk\",\"health_path\":\"/healthz\",\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false},"
+            + "{\"name\":\"plant-advisor\",\"health_path\":\"/healthz\",\"max_conns\":370,\"protocol\":\"h1\",\"tls\":false,"
+            + "\"engine\":{\"capacity\":64,\"kv_capacity\":456822}}],"
             + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
             + "\"tenants\":[" + tenants + "]}";
     }
