--- a/review/standins/PlannedStop.java
+++ b/review/PlannedStop.java
@@ -12,7 +12,7 @@
     private static final String HOST = "visits.example";
     private static final double GRACE_S = 8.0;
     private static final int MACHINES = 4;
-    private static final int CLIENTS = 64;
+    private static final int CLIENTS = 96;
     private volatile boolean isOver;
 
     /** The stops of each machine: its address and the time of the SIGTERM. */
@@ -27,7 +27,7 @@
         StoreStandIn store = new StoreStandIn();
         try (Fleet fleet = new Fleet(record, store, MACHINES)) {
             List<RunnerStandIn> runners = new ArrayList<>();
-            for (int number = 1; number <= 6; number++) {
+            for (int number = 1; number <= 10; number++) {
                 RunnerStandIn runner = new RunnerStandIn(record, store, fleet.host(3, number), "i-desk-" + number,
                     "visit-desk", "khomas-a", 6, 24);
                 runner.workFromMs = 20;
@@ -86,7 +86,7 @@
                 attempts.add(attempt);
                 if (!attempt.isConnected) addresses.remove(address);
             }
-            pause(60 + random.nextInt(80));
+            pause(40 + random.nextInt(60));
         }
     }
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mkdir -p target/review
-javac -d target/review review/standins/*.java
+javac -d target/review review/*.java
