--- a/review/Fleet.java
+++ b/review/Fleet.java
@@ -171,6 +171,9 @@
         }
     }
 
+    /** The port in the deploy file's command. */
+    private static final int METRICS_PORT = 9464;
+
     final List<Machine> machines = new ArrayList<>();
     final StoreStandIn store;
     private final Record record;
@@ -185,7 +188,7 @@
         root = Path.of(System.getProperty("review.root")).toAbsolutePath().normalize();
         folder = Files.createTempDirectory("review-");
         command = commandOf(Files.readString(root.resolve("deploy/system.toml")));
-        net = 1 + new Random().nextInt(200);
+        net = freeNet(machineCount);
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
         for (int number = 1; number <= machineCount; number++) machines.add(new Machine(number));
     }
@@ -201,13 +204,30 @@
         return matcher.group(1);
     }
 
+    /** A number of loopback addresses that no other run uses: the port for metrics, which the command sets, is free there. */
+    private int freeNet(int machineCount) {
+        Random random = new Random();
+        while (true) {
+            int candidate = 1 + random.nextInt(200);
+            boolean isFree = true;
+            for (int number = 1; number <= machineCount; number++) {
+                try (ServerSocket socket = new ServerSocket()) {
+                    socket.bind(new InetSocketAddress("127." + (20 + candidate) + ".1." + number, METRICS_PORT));
+                } catch (IOException error) {
+                    isFree = false;
+                }
+            }
+            if (isFree) return candidate;
+        }
+    }
+
     /** A port that is free for TCP and UDP at [host]. */
     private static int freePort(String host) throws IOException {
         while (true) {
             try (ServerSocket socket = new ServerSocket()) {
                 socket.bind(new InetSocketAddress(host, 0));
                 int port = socket.getLocalPort();
-                if (port == 9464) continue;
+                if (port == METRICS_PORT) continue;
                 try (DatagramSocket datagrams = new DatagramSocket(port, InetAddress.getByName(host))) {
                     return datagrams.getLocalPort();
                 } catch (IOException error) {
