Stop: nothing is accepted once the process has decided to end

Cause: from 2 s on a poll ended the process when nothing was open at that moment, while the listener stayed open until 2.8 s. What was accepted between the decision and the end of the process was passed on and cut. PlannedStopTest: after close() had returned, a booking was answered with 200. Ruled out: answers written and not sent; kept connections (the case opens new ones); the end of the grace (the processes of the case ended after 2 to 2.8 s of 8 s).

Change: ShutdownSchedule gives the steps one order. The listener is closed and requests are refused before the end is considered, and the process ends when no request and no connection is open after that. Requests are taken in the first half of the grace at most. What still runs near its end is answered: 503 if no endpoint was sent it, else 502. An idle connection is closed after its last answer has been sent. Why it works: once the listener is closed, the sets that the poll reads only shrink.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -46,6 +46,7 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -107,6 +108,7 @@
         },
     )
     private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS, DefaultThreadFactory("duties", true))
+    private val hasStopBegun = AtomicBoolean()
     private val stopped = CountDownLatch(1)
 
     @Volatile
@@ -142,8 +144,13 @@
         scheduleEvery(BlameRecords.TimeToLive / BLAME_RENEWALS, blameRecords::renew)
     }
 
-    /** Leaves the directory, then waits until all requests have ended or the shutdown grace is nearly over. */
+    /**
+     * Leaves the directory, takes requests for as long as callers may use the address, and returns when all of them
+     * have their answers, or when the shutdown grace is nearly over. Nothing is accepted any more when it returns.
+     */
     override fun close() {
+        if (!hasStopBegun.compareAndSet(false, true)) return stopped.await()
+        val schedule = ShutdownSchedule(settings.shutdownGrace, settings.addressValidity)
         DecisionLog.write("stop", "incarnation" to incarnation, "grace" to settings.shutdownGrace)
         eventLoop.execute {
             isStopping = true
@@ -155,26 +162,30 @@
             membership.leave()
             duty.release()
         }
-        val end = timeSource.markNow() + settings.shutdownGrace - ShutdownMargin
-        eventLoop.schedule(settings.addressValidity * DRAIN_VALIDITIES) {
+        eventLoop.schedule(schedule.closeIdleAfter) {
             context.isShuttingDown = true
             callers.closeWhenIdle()
         }
-        eventLoop.schedule(settings.addressValidity * CACHED_VALIDITIES - ListenerMargin) {
-            context.isRefusing = true
-            callerListener?.close()
-            callers.closeWhenIdle()
-        }
-        eventLoop.repeatEvery(PollPeriod) {
-            val isDone = context.isShuttingDown && context.openExchanges == 0 && callers.isEmpty
-            if (isDone || end.hasPassedNow()) stopped.countDown()
-        }
+        eventLoop.schedule(schedule.refuseAfter, ::stopAccepting)
+        eventLoop.schedule(schedule.giveUpAfter, callers::giveUp)
+        eventLoop.schedule(schedule.endAfter, stopped::countDown)
         stopped.await()
         DecisionLog.write("stopped", "open" to context.openExchanges)
         scheduler.shutdownNow()
         platform.close()
     }
 
+    /** Closes the listener; only the connections that are open then keep the process from ending. */
+    private fun stopAccepting() {
+        context.isRefusing = true
+        callerListener?.close()
+        callers.closeWhenIdle()
+        DecisionLog.write("stop_accepting", "open" to context.openExchanges)
+        eventLoop.repeatEvery(PollPeriod) {
+            if (context.openExchanges == 0 && callers.isEmpty) stopped.countDown()
+        }
+    }
+
     private var isStopping = false
     private var callerListener: Channel? = null
 
@@ -255,15 +266,6 @@
         private const val ROLLOUT_DUTY = "version-rollouts"
         private const val SCHEDULER_THREADS = 3
 
-        /** Validities for which callers may use an answer with addresses. */
-        private const val CACHED_VALIDITIES = 3
-
-        /** Validities after which most callers have left, and the others are asked to close their connections. */
-        private const val DRAIN_VALIDITIES = 2
-
-        /** A request that is sent within the callers' longest use of an answer is still taken. */
-        private val ListenerMargin = 200.milliseconds
-
         /** Covers the time from the check of the confirmation to the arrival of the request at an endpoint. */
         private val RevocationMargin = 500.milliseconds
 
@@ -285,8 +287,6 @@
         private val DutyTimeToLive = 3.seconds
         private val DutyMargin = 500.milliseconds
 
-        /** Time reserved for the end of the process itself. */
-        private val ShutdownMargin = 600.milliseconds
         private val PollPeriod = 50.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
@@ -106,10 +106,16 @@
         startTimer(limits.headerTimeout) { onReadTimeout() }
     }
 
-    /** Closes the connection at once if it is idle, else after the current answer. */
+    /** Closes the connection once its caller has been sent the answers to what was read, at once if it is idle. */
     public fun closeWhenIdle() {
         isKeepAlive = false
-        if (isIdle) close()
+        if (isIdle) closeAfterWrites()
+    }
+
+    /** Answers the request that is open, and closes the connection after it. */
+    public fun giveUp() {
+        isKeepAlive = false
+        exchange?.giveUpForShutdown()
     }
 
     private fun processQueue() {
@@ -276,7 +282,7 @@
     private fun startBodyTimer() =
         startTimer(minOf(limits.idleTimeout, bodyDeadline - context.timeSource.markNow())) { onReadTimeout() }
 
-    private fun startIdleTimer() = startTimer(limits.idleTimeout) { if (isIdle) close() }
+    private fun startIdleTimer() = startTimer(limits.idleTimeout) { if (isIdle) closeAfterWrites() }
 
     private fun startTimer(delay: Duration, task: () -> Unit) {
         timer?.cancel(false)
@@ -288,6 +294,12 @@
         channelContext.close()
     }
 
+    /** Closes the connection when the caller has been sent all that was written; it may still read the last answer. */
+    private fun closeAfterWrites() {
+        isClosing = true
+        channelContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+    }
+
     private fun copyHeaders(from: HttpResponse, to: HttpResponse) {
         val named = headersNamedByConnection(from.headers())
         for ((name, value) in from.headers()) {
@@ -344,4 +356,7 @@
 
     /** Closes idle connections at once and the others after their current answer. */
     public fun closeWhenIdle(): Unit = open.toList().forEach(CallerConnection::closeWhenIdle)
+
+    /** Answers all open requests now. */
+    public fun giveUp(): Unit = open.toList().forEach(CallerConnection::giveUp)
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -64,6 +64,13 @@
         finish()
     }
 
+    /** Ends the request as this instance is about to end: as not run if it was sent to no endpoint, else as failed. */
+    public fun giveUpForShutdown() {
+        if (isFinished) return
+        sender?.attempt?.abandon("shutting down")
+        giveUp(AnswerReason.SHUTTING_DOWN)
+    }
+
     /** Called when the caller's connection accepts bytes again. */
     public fun resumeReading() {
         sender?.attempt?.setAutoRead(true)
