Endpoints: an answer that says that its endpoint leaves is read

Cause: leaving was known by the entry in the store only; of the statements in answers only the limit was decoded. Ruled out: an entry that arrives late for another reason (the instance in touch with the store sent nothing after it).

Change: the statement is decoded in each kind of answer, also in one to another request. From then on that start of the endpoint gets nothing new, whatever its entry says; what waits for a connection to it goes elsewhere, kept connections are closed when idle, and the other instances are told by datagram. The check after connecting let a leaving endpoint pass when no other was eligible; it now allows last resorts only. A malformed limit no longer hides the rest of the statement. WorkMessageBytesTest: the datagram has one more field, so the field of a later build is number 10.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -30,6 +30,8 @@
     private val limitChanges = Counter.builder().name("quetzalfield_endpoint_limit_changes_total")
         .help("Limits on requests that endpoints named, changed or ended in their answers").labelNames("change")
         .register(registry)
+    private val leaving = Counter.builder().name("quetzalfield_endpoints_leaving_total")
+        .help("Endpoints that stated in an answer that they will end, before their entry did").register(registry)
     private val malformedStatements = Counter.builder().name("quetzalfield_malformed_statements_total")
         .help("Answers in which an endpoint's statement about itself could not be decoded").register(registry)
     private val suspectedCrashes = Counter.builder().name("quetzalfield_suspected_crashes_total")
@@ -90,6 +92,11 @@
         limitChanges.labelValues(change.name.lowercase()).inc()
     }
 
+    /** Counts an endpoint that stated in an answer that it will end, before its entry in the store did. */
+    public fun countLeaving() {
+        leaving.inc()
+    }
+
     /** Counts an answer in which an endpoint's statement about itself could not be decoded. */
     public fun countMalformedStatement() {
         malformedStatements.inc()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -130,6 +130,7 @@
         callerListener = listeners.listenForCallers(settings.callerAddress, context, callers)
         settings.peerAddress?.let(workExchange::start)
         context.onWorkChanged = workExchange::scheduleReport
+        context.onLeaving = workExchange::reportLeaving
         platform.start(PlatformFeed(context, ::updateOrders), followedStore)
         followedStore.follow(
             FleetKeys.FLEET_PREFIX,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectory.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectory.kt
@@ -50,6 +50,20 @@
         }
     }
 
+    /**
+     * Records that [endpoint] has stated itself that it will end, and returns whether that was not known. It is final
+     * for this start of the endpoint: an older entry, in which it still serves, may arrive after it.
+     */
+    public fun markLeaving(endpoint: Endpoint): Boolean {
+        if (endpoint.description.isLeaving) return false
+        endpoint.description = endpoint.description.copy(isLeaving = true)
+        return true
+    }
+
+    /** Whether [endpoint] may get new work, also as a last resort when no other endpoint of its service may. */
+    public fun isUsable(endpoint: Endpoint): Boolean = endpoint.isEligible ||
+        endpoint.description.service.let { eligible(it).isEmpty() && endpoint in lastResort(it) }
+
     /** Records that the entry of [id] has disappeared. */
     public fun remove(id: EndpointId): EndpointChange {
         val known = endpoints[id] ?: return EndpointChange.NONE
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointStatement.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointStatement.kt
@@ -5,6 +5,13 @@
  *
  * @property requestsPerSecond the requests per second that it accepts from all instances together; `null` if it names
  * no limit.
- * @property malformed a statement that cannot be decoded, as received; `null` if there is none.
+ * @property malformedLimit a limit that cannot be decoded, as received; `null` if there is none.
+ * @property isLeaving whether it states that it will end.
+ * @property malformedLeaving a statement about its end that cannot be decoded, as received; `null` if there is none.
  */
-public data class EndpointStatement(val requestsPerSecond: Double? = null, val malformed: String? = null)
+public data class EndpointStatement(
+    val requestsPerSecond: Double? = null,
+    val malformedLimit: String? = null,
+    val isLeaving: Boolean = false,
+    val malformedLeaving: String? = null,
+)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -58,6 +58,7 @@
     private val groupReport = WorkReport(::groupWork)
     private val fleetReport = WorkReport(::fleetWork)
     private val limitReports = LimitReports()
+    private val leavingReports = LeavingReports(endpoints)
     private val lastNumbers = HashMap<Incarnation, Long>()
     private var channel: Channel? = null
     private var isFlushDue = false
@@ -97,6 +98,10 @@
         }
     }
 
+    /** Tells the others that [endpoint] has stated that it will end. Called on the event loop. */
+    fun reportLeaving(endpoint: Endpoint) =
+        send(composer.leaving(listOf(leavingReports.add(endpoint))), members.peers.keys)
+
     private fun scheduleCrashReport() {
         if (isCrashReportDue) return
         isCrashReportDue = true
@@ -122,7 +127,8 @@
 
     private fun sendPresence() {
         val news = crashes?.recentNews()?.let(composer::crashes).orEmpty()
-        send(composer.held(holds.local) + news + composer.presence(), members.peers.keys)
+        val leaving = composer.leaving(leavingReports.current)
+        send(composer.held(holds.local) + news + leaving + composer.presence(), members.peers.keys)
     }
 
     /** Sends the part of the reports that [select] returns to the instances that need it. */
@@ -185,6 +191,7 @@
         members.recordPresence(message.sender, message.isLeaving, now)
         message.held.forEach(holds::addRemote)
         message.crashes?.let { crashes?.learn(it, message.sender) }
+        message.leaving.forEach { takeLeaving(message.sender, it) }
         takeWork(message, now)
         val hasNewLimit = message.limits.count { takeLimit(message.sender, it, now) } > 0
         val hasNewWork = message.work.isNotEmpty() && message.scope != WorkScope.FLEET
@@ -192,6 +199,12 @@
         if (isForwarding && (hasNewLimit || hasNewWork)) scheduleReport()
     }
 
+    private fun takeLeaving(sender: Incarnation, report: LeavingReport) {
+        val endpoint = leavingReports.find(report) ?: return
+        if (!endpoints.markLeaving(endpoint)) return
+        DecisionLog.write("endpoint_leaving", "endpoint" to endpoint, "start" to report.start, "told_by" to sender)
+    }
+
     private fun takeWork(message: WorkMessage, now: ComparableTimeMark) {
         // A leader computes the sum of all from the same messages as the sender.
         if (message.scope == WorkScope.FLEET && members.leader == own) return
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
@@ -41,6 +41,7 @@
  * @property held sessions that [sender] holds on the previous version.
  * @property limits what [sender] knows of the limits that endpoints have named.
  * @property crashes what [sender] has found about requests that make endpoints end.
+ * @property leaving endpoints that have stated to [sender] that they will end.
  */
 @Serializable
 internal data class WorkMessage(
@@ -52,6 +53,7 @@
     val held: List<HeldSessions> = emptyList(),
     val limits: List<LimitReport> = emptyList(),
     val crashes: CrashNews? = null,
+    val leaving: List<LeavingReport> = emptyList(),
 ) {
     fun encode(): ByteArray = PeerFormat.encode(serializer(), this)
 
@@ -84,6 +86,10 @@
     fun limits(limits: List<LimitReport>): List<WorkMessage> = limits.chunked(ENDPOINTS_PER_MESSAGE)
         .map { WorkMessage(sender, ++number, isLeaving = isLeaving, limits = it) }
 
+    /** Returns messages that report [leaving]. */
+    fun leaving(leaving: List<LeavingReport>): List<WorkMessage> = leaving.chunked(ENDPOINTS_PER_MESSAGE)
+        .map { WorkMessage(sender, ++number, isLeaving = isLeaving, leaving = it) }
+
     /** Returns messages that report [news]. */
     fun crashes(news: CrashNews): List<WorkMessage> =
         news.split().map { WorkMessage(sender, ++number, isLeaving = isLeaving, crashes = it) }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -69,6 +69,9 @@
     private val head = request.head
     private val sentAt = context.timeSource.markNow()
 
+    /** The start of the endpoint that the request is sent to; the endpoint may have restarted when it answers. */
+    private val endpointStart = endpoint.startId
+
     /** Whether the answer is to continue a stream that has begun. */
     private val isContinuation = progress.hasBegun
     private var isPromptUnread = true
@@ -212,13 +215,14 @@
             endpoint.load = it
             endpoint.loadReportedAt = lastActivity
         }
+        if (!decoded.isMisdirected) recordLeaving(decoded)
         if (decoded.requestId != null && decoded.requestId != head.id) {
             request.caller.log("skipped_response", "endpoint" to endpoint, "of" to decoded.requestId.value)
             return false
         }
         this.response = response
         responseHead = decoded
-        if (!decoded.isMisdirected) recordStatement(decoded)
+        if (!decoded.isMisdirected) recordLimit(decoded)
         when {
             // It may repeat a response to an earlier request.
             decoded.requestId == null && connection.hasCarriedResponse -> fail("response without request id")
@@ -234,14 +238,27 @@
         return true
     }
 
-    /** Records what the endpoint states about itself. The end of a limit is accepted in a signed response only. */
-    private fun recordStatement(decoded: ResponseHead) {
+    /** Records that the endpoint states that it will end, in any response, also in one to another request. */
+    private fun recordLeaving(decoded: ResponseHead) {
         val statement = decoded.statement
-        if (statement.malformed != null) {
-            context.metrics.countMalformedStatement()
-            request.caller.log("statement_malformed", "endpoint" to endpoint, "text" to statement.malformed)
-            return
-        }
+        statement.malformedLeaving?.let(::recordMalformed)
+        if (!statement.isLeaving || endpoint.startId != endpointStart) return
+        if (!context.endpoints.markLeaving(endpoint)) return
+        context.metrics.countLeaving()
+        request.caller.log("endpoint_leaving", "endpoint" to endpoint, "start" to endpoint.description.start)
+        context.connections.retire(endpoint.description.address)
+        context.onLeaving(endpoint)
+    }
+
+    private fun recordMalformed(text: String) {
+        context.metrics.countMalformedStatement()
+        request.caller.log("statement_malformed", "endpoint" to endpoint, "text" to text)
+    }
+
+    /** Records the limit that the endpoint states. The end of a limit is accepted in a signed response only. */
+    private fun recordLimit(decoded: ResponseHead) {
+        val statement = decoded.statement
+        if (statement.malformedLimit != null) return recordMalformed(statement.malformedLimit)
         if (statement.requestsPerSecond == null && !decoded.isSigned) return
         val before = endpoint.limit.requestsPerSecond
         val change = context.limits.record(endpoint, statement.requestsPerSecond, lastActivity)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointCandidates.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointCandidates.kt
@@ -42,9 +42,6 @@
     /** Time until the limits of [all] allow a request; infinite if they allow none of this instance. */
     fun timeUntilOpen(): Duration = all.minOfOrNull(context.limits::timeUntilAllowed) ?: Duration.INFINITE
 
-    /** Whether [endpoint] may still get new work, or no endpoint of the service may. */
-    fun isUsable(endpoint: Endpoint): Boolean = endpoint.isEligible || context.endpoints.eligible(service).isEmpty()
-
     fun recordTry(endpoint: Endpoint) {
         tried += endpoint
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -44,12 +44,17 @@
     public fun onFailure(reason: String, isConnectionLost: Boolean)
 }
 
-/** A connection to an endpoint, which carries one request at a time. Used on the event loop only. */
+/**
+ * A connection to an endpoint, which carries one request at a time. Used on the event loop only.
+ *
+ * @property generation number of the connections to [address] that were opened before the same end of its process.
+ */
 public class EndpointConnection(
     public val address: HostPort,
     private val timeSource: TimeSource.WithComparableMarks,
     private val onClosed: (EndpointConnection) -> Unit,
     private val onIdle: (EndpointConnection) -> Unit,
+    internal val generation: Int = 0,
 ) : ChannelInboundHandlerAdapter() {
     private var listener: ResponseListener? = null
     private var isSkipping = false
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
@@ -26,6 +26,9 @@
     private class Pool {
         val idle = ArrayDeque<EndpointConnection>()
         var open = 0
+
+        /** Connections that were opened before this number was last raised are not used again. */
+        var generation = 0
     }
 
     private val pools = HashMap<HostPort, Pool>()
@@ -54,7 +57,24 @@
 
     /** Returns a [connection] that was acquired and on which nothing was sent. */
     public fun release(connection: EndpointConnection) {
-        if (connection.channel.isActive) pools.getValue(connection.address).idle.addLast(connection)
+        if (connection.channel.isActive) keep(connection)
+    }
+
+    /**
+     * Closes the connections to [address], those that carry a request after its response, as the process there will
+     * end. Connections that are opened from now on may be to another process.
+     */
+    public fun retire(address: HostPort) {
+        val pool = pools[address] ?: return
+        pool.generation++
+        val idle = pool.idle.toList()
+        pool.idle.clear()
+        idle.forEach(EndpointConnection::abandon)
+    }
+
+    private fun keep(connection: EndpointConnection) {
+        val pool = pools.getValue(connection.address)
+        if (connection.generation == pool.generation) pool.idle.addLast(connection) else connection.abandon()
     }
 
     /**
@@ -64,7 +84,7 @@
     public fun probe(address: HostPort, onResult: (ConnectFailure?) -> Unit) {
         val pool = pools.getOrPut(address, ::Pool)
         open(address, pool, onFailure = onResult) { connection ->
-            pool.idle.addLast(connection)
+            keep(connection)
             onResult(null)
         }
     }
@@ -91,7 +111,8 @@
             address,
             timeSource,
             onClosed = { closed -> remove(pool, closed) },
-            onIdle = { idle -> pool.idle.addLast(idle) },
+            onIdle = ::keep,
+            generation = pool.generation,
         )
         bootstrap(connection).connect(address.host, address.port).addListener { future ->
             if (future.isSuccess) {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -264,7 +264,7 @@
                 connection.abandon()
                 return giveUp(AnswerReason.CONFIGURATION_UNCONFIRMED)
             }
-            if (!candidates.isUsable(placement.endpoint)) {
+            if (!context.endpoints.isUsable(placement.endpoint)) {
                 connection.abandon()
                 return send()
             }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -16,6 +16,7 @@
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
 import io.quetzalfield.forwarding.configuration.Route
 import io.quetzalfield.forwarding.crashes.CrashGuard
+import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.fleet.VersionObserver
 import io.quetzalfield.model.ServiceId
@@ -55,6 +56,9 @@
     /** Called whenever the work of this instance at an endpoint has changed. */
     public var onWorkChanged: () -> Unit = {}
 
+    /** Called with an endpoint that has stated itself, for the first time, that it will end. */
+    public var onLeaving: (Endpoint) -> Unit = {}
+
     /** Whether this instance is shutting down; answers then ask callers to close their connections. */
     public var isShuttingDown: Boolean = false
 
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
@@ -165,9 +165,18 @@
         ),
     )
 
+    /** Written by the build that added the field, which older builds skip. */
+    @Test
+    fun `endpoints that leave`() = assertBytes(
+        "0a120a0766726f6e742d31120773746172742d37" +
+            "100a" +
+            "4a110a0872756e6e65722d311080d095ffbc31",
+        WorkMessage(sender, number = 10, leaving = listOf(LeavingReport("runner-1", start = 1_700_000_000_000))),
+    )
+
     @Test
     fun `a field that a later build adds is skipped`() {
-        val bytes = HexFormat.of().parseHex("0a120a0766726f6e742d31120773746172742d37" + "1001" + "4a03616263")
+        val bytes = HexFormat.of().parseHex("0a120a0766726f6e742d31120773746172742d37" + "1001" + "5203616263")
         assertEquals(WorkMessage(sender, number = 1), WorkMessage.decode(bytes))
     }
 
