Roll-outs: held sessions outlive the instances that know them

Cause: held sessions were in memory only, and an instance repeats those that it holds itself. A restarted instance began with none, and read the step with the share from the store. Evidence: SessionVersionTest, "... when all instances are restarted one after the other", failed on the old code: sessions that were active before the roll-out were sent to the new version by the restarted instances.

Change: the holder of the duty stores the sessions in one record of the service before it gives the first share; an instance that knows others adds them, also when it is stopped. Instances read the record with the steps, and take no request before they have read both. Why it works: the record is written before the step and read in the store's order, so an instance that knows the share knows the sessions, whoever has been restarted. Weighed: repeating what was heard (a new instance may hear nobody; the square of the instances in bytes), a record an instance.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -9,6 +9,7 @@
 import io.quetzalfield.decision.rendezvousOrder
 import io.quetzalfield.forwarding.choice.ActiveSessions
 import io.quetzalfield.forwarding.choice.EndpointLimits
+import io.quetzalfield.forwarding.choice.HeldSessions
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.SessionHolds
 import io.quetzalfield.forwarding.choice.VersionSplit
@@ -20,6 +21,7 @@
 import io.quetzalfield.forwarding.fleet.BlameRecords
 import io.quetzalfield.forwarding.fleet.FleetFollower
 import io.quetzalfield.forwarding.fleet.FleetKeys
+import io.quetzalfield.forwarding.fleet.HoldRecords
 import io.quetzalfield.forwarding.fleet.LeasedRecords
 import io.quetzalfield.forwarding.fleet.MemberRecord
 import io.quetzalfield.forwarding.fleet.Members
@@ -90,6 +92,7 @@
         memberCount = { members.count },
         limits = limits,
     )
+    private val holdRecords = HoldRecords(platform.store)
     private val workExchange =
         WorkExchange(eventLoop, incarnation, context.endpoints, members, timeSource, limits, sessionHolds, crashes)
     private val relayGroup =
@@ -106,6 +109,7 @@
         requestsPerSecond = { service ->
             eventLoop.submit<Double> { context.retryAllowance.requestsPerSecond(service) }.get()
         },
+        storeHolds = { storeHolds { sessionHolds.knownNotStored } },
     )
     private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS, DefaultThreadFactory("duties", true))
     private val hasStopBegun = AtomicBoolean()
@@ -122,6 +126,7 @@
 
     /** Opens the listening sockets and starts to follow the platform. */
     public fun start() {
+        context.isFleetKnown = false
         DecisionLog.write("start", "incarnation" to incarnation, "address" to settings.callerAddress)
         val listeners = HttpListeners(group)
         listeners.listenForQueries(settings.readinessAddress, ::answerReadiness)
@@ -134,7 +139,7 @@
         platform.start(PlatformFeed(context, ::updateOrders), followedStore)
         followedStore.follow(
             FleetKeys.FLEET_PREFIX,
-            FleetFollower(context, members, onReported = closedOrders::add),
+            FleetFollower(context, members, sessionHolds, onReported = closedOrders::add),
             FleetFollowSettings,
         )
         followedStore.start()
@@ -142,6 +147,7 @@
         scheduleEvery(DutyPeriod, ::runDuties)
         scheduleEvery(ObservationPeriod, ::publishObservations)
         scheduleEvery(BlamePeriod, blameRecords::publish)
+        scheduleEvery(HoldPeriod) { storeHolds(::settledHolds) }
         scheduleEvery(BlameRecords.TimeToLive / BLAME_RENEWALS, blameRecords::renew)
     }
 
@@ -159,10 +165,13 @@
             workExchange.announceLeaving()
         }
         followedStore.leave()
-        scheduler.execute {
-            membership.leave()
-            duty.release()
-        }
+        scheduler.execute(
+            loggingErrors {
+                membership.leave()
+                duty.release()
+                storeHolds { sessionHolds.localNotStored }
+            },
+        )
         eventLoop.schedule(schedule.closeIdleAfter) {
             context.isShuttingDown = true
             callers.closeWhenIdle()
@@ -191,7 +200,8 @@
     private var callerListener: Channel? = null
 
     private val isReady: Boolean
-        get() = !isStopping && context.configuration.current != null && context.isConfigurationCurrent
+        get() = !isStopping && context.configuration.current != null && context.isFleetKnown &&
+            context.isConfigurationCurrent
 
     private fun answerReadiness(uri: String): PlainAnswer? = when {
         !platform.directory.isReadinessRequest(uri) -> null
@@ -221,6 +231,14 @@
         return if (rank < 0) sharers.all.size else rank
     }
 
+    /** Stores the sessions that [select] returns on the event loop. */
+    private fun storeHolds(select: () -> List<HeldSessions>) =
+        holdRecords.add(eventLoop.submit<List<HeldSessions>>(select).get())
+
+    /** The own sessions that others do not know from the store although the first share applies. */
+    private fun settledHolds(): List<HeldSessions> =
+        sessionHolds.localNotStored.filter { context.versions.isComparing(it.service) }
+
     private fun updateOrders(current: List<RolloutOrder>) {
         rollouts.setOrders(current)
         orders = current
@@ -281,6 +299,9 @@
         private val BlamePeriod = 300.milliseconds
         private const val BLAME_RENEWALS = 4
 
+        /** Sessions that the holder of the duty has not heard of are stored within a fraction of the first half. */
+        private val HoldPeriod = 1.seconds
+
         /** Members change rarely, and a step of a roll-out is received at once. */
         private val FleetFollowSettings = FollowSettings(wait = 4.seconds, relistInterval = 10.seconds)
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/SessionHolds.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/SessionHolds.kt
@@ -19,12 +19,14 @@
  * Load pattern: a session continues at any instance, and an instance knows only the sessions that it serves itself. The
  * first share is therefore announced some time before it takes effect, and meanwhile each instance reports to the
  * others which sessions in this share it has sent to the previous version. Their number is bounded by the traffic of
- * the first share, whatever the number of instances.
+ * the first share, whatever the number of instances. Instances may be restarted in turn while the share applies, until
+ * none is left that has heard the others; the sessions are therefore also stored.
  */
 public class SessionHolds {
     private class Holds(val orderRevision: Long) {
         val local = LinkedHashSet<Long>()
-        val remote = HashSet<Long>()
+        val remote = LinkedHashSet<Long>()
+        val stored = HashSet<Long>()
     }
 
     private val holds = HashMap<ServiceId, Holds>()
@@ -37,6 +39,16 @@
         get() = holds.filterValues { it.local.isNotEmpty() }
             .map { (service, held) -> HeldSessions(service, held.orderRevision, held.local.toList()) }
 
+    /** The sessions that this instance itself holds and that are not stored. */
+    public val localNotStored: List<HeldSessions> get() = notStored { it.local }
+
+    /** All held sessions that are known and not stored. */
+    public val knownNotStored: List<HeldSessions> get() = notStored { it.local + it.remote }
+
+    private fun notStored(select: (Holds) -> Set<Long>): List<HeldSessions> = holds
+        .map { (service, held) -> HeldSessions(service, held.orderRevision, (select(held) - held.stored).toList()) }
+        .filter { it.sessions.isNotEmpty() }
+
     /** Holds [session], for which a request has been sent. */
     public fun hold(service: ServiceId, orderRevision: Long, session: Long) {
         val held = holdsOf(service, orderRevision) ?: return
@@ -51,10 +63,16 @@
         for (session in sessions.sessions) if (held.remote.size < MAXIMUM_HELD) held.remote += session
     }
 
+    /** Adds the sessions that are stored, by whichever instance. */
+    public fun addStored(sessions: HeldSessions) {
+        val held = holdsOf(sessions.service, sessions.orderRevision) ?: return
+        held.stored += sessions.sessions.take(MAXIMUM_STORED)
+    }
+
     /** Whether [session] stays on the previous version. */
     public fun isHeld(service: ServiceId, orderRevision: Long, session: Long): Boolean {
         val held = holds[service]?.takeIf { it.orderRevision == orderRevision } ?: return false
-        return session in held.local || session in held.remote
+        return session in held.local || session in held.remote || session in held.stored
     }
 
     /** Releases the sessions of [service]; called when its roll-out is not at the first share. */
@@ -69,8 +87,11 @@
         return Holds(orderRevision).also { holds[service] = it }
     }
 
-    private companion object {
+    public companion object {
         /** Sessions kept for one service: several times those that a first share admits in the first half. */
-        const val MAXIMUM_HELD = 4_096
+        private const val MAXIMUM_HELD = 4_096
+
+        /** Sessions stored for one service; about 20 bytes each, well below the largest value of a store. */
+        public const val MAXIMUM_STORED: Int = 2 * MAXIMUM_HELD
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
@@ -3,6 +3,8 @@
 import io.quetzalfield.forwarding.DecisionLog
 import io.quetzalfield.forwarding.StorePartLog
 import io.quetzalfield.forwarding.UNREADABLE_RECORD
+import io.quetzalfield.forwarding.choice.HeldSessions
+import io.quetzalfield.forwarding.choice.SessionHolds
 import io.quetzalfield.forwarding.crashes.BlameReport
 import io.quetzalfield.forwarding.crashes.CrashNews
 import io.quetzalfield.forwarding.decodeOrLog
@@ -19,6 +21,7 @@
 internal class FleetFollower(
     private val context: RoutingContext,
     private val members: Members,
+    private val holds: SessionHolds,
     private val onReported: (Long) -> Unit,
 ) : StoreFollower {
     private val eventLoop get() = context.eventLoop
@@ -28,6 +31,7 @@
         val (records, others) = values.partition { it.key.startsWith(FleetKeys.MEMBERS) }
         eventLoop.execute { members.replace(records) }
         others.forEach(::applyValue)
+        eventLoop.execute { context.isFleetKnown = true }
     }
 
     override fun onChange(change: StoreChange) {
@@ -43,13 +47,18 @@
     override fun onAvailable() = partLog.onRegained()
 
     private fun applyValue(value: StoredValue) {
-        if (value.key.startsWith(FleetKeys.CRASHES)) {
-            applyBlame(value)
-        } else {
-            applyStep(value)
+        when {
+            value.key.startsWith(FleetKeys.CRASHES) -> applyBlame(value)
+            value.key.startsWith(FleetKeys.HOLDS) -> applyHolds(value)
+            else -> applyStep(value)
         }
     }
 
+    private fun applyHolds(value: StoredValue) {
+        val held = value.decodeOrLog(HeldSessions.serializer(), UNREADABLE_RECORD) ?: return
+        eventLoop.execute { holds.addStored(held) }
+    }
+
     private fun applyBlame(value: StoredValue) {
         val report = value.decodeOrLog(BlameReport.serializer(), UNREADABLE_RECORD) ?: return
         eventLoop.execute { context.crashes.learn(CrashNews(blames = listOf(report)), sender = "store") }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetKeys.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetKeys.kt
@@ -18,6 +18,9 @@
     /** Requests that are refused as they make endpoints end, one key for each request or part of prompts. */
     public const val CRASHES: String = "fleet/crashes/"
 
+    /** Sessions that stay on the previous version during a roll-out, one key per service. */
+    public const val HOLDS: String = "fleet/sessions/"
+
     /** Observations of versions, one key per service and instance under the instance's lease. */
     public const val OBSERVATIONS: String = "observations/"
 
@@ -30,6 +33,9 @@
     /** Returns the key of the current step of [service]. */
     public fun step(service: ServiceId): String = STEPS + service.value
 
+    /** Returns the key of the sessions of [service] that stay on the previous version. */
+    public fun holds(service: ServiceId): String = HOLDS + service.value
+
     /** Returns the key of the observations of [service] by [incarnation]. */
     public fun observations(service: ServiceId, incarnation: Incarnation): String =
         "$OBSERVATIONS${service.value}/$incarnation"
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
@@ -67,6 +67,8 @@
 /**
  * Carries out roll-outs while this instance holds the duty. All instances follow the steps that it stores; a new holder
  * continues from the stored step.
+ *
+ * @param storeHolds stores the sessions that stay on the previous version; called before the first share applies.
  */
 public class RolloutDuty(
     private val store: KeyValueStore,
@@ -76,6 +78,7 @@
     private val clock: Clock = Clock.System,
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     private val requestsPerSecond: (ServiceId) -> Double = { 0.0 },
+    private val storeHolds: () -> Unit = {},
 ) {
     private val firstSeen = ConcurrentHashMap<StoreRevision, ComparableTimeMark>()
 
@@ -163,7 +166,9 @@
         }
         val since = announced.getOrPut(order.revision) { timeSource.markNow() }
         val isPrepared = since.elapsedNow() >= schedule.preparation(order.ramp)
-        return if (isPrepared) current.copy(share = current.firstShare) else current
+        if (!isPrepared) return current
+        storeHolds()
+        return current.copy(share = current.firstShare)
     }
 
     private fun report(order: RolloutOrder, key: String, revision: StoreRevision, record: RolloutRecord) {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -49,7 +49,7 @@
         val configuration = context.configuration.current
         when {
             context.isRefusing -> refuse(AnswerReason.SHUTTING_DOWN)
-            configuration == null -> refuse(AnswerReason.NO_CONFIGURATION)
+            configuration == null || !context.isFleetKnown -> refuse(AnswerReason.NO_CONFIGURATION)
             !context.isConfigurationCurrent -> refuse(AnswerReason.CONFIGURATION_UNCONFIRMED)
             else -> admit(configuration)
         }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -59,6 +59,9 @@
     /** Called with an endpoint that has stated itself, for the first time, that it will end. */
     public var onLeaving: (Endpoint) -> Unit = {}
 
+    /** Whether the state that the instances share in the store has been read, without which versions may be mixed up. */
+    public var isFleetKnown: Boolean = true
+
     /** Whether this instance is shutting down; answers then ask callers to close their connections. */
     public var isShuttingDown: Boolean = false
 
