Configuration: requests need a key when the configuration lists accounts, also when none has one

Cause: whether a key is needed was derived from the number of keys, and an absent list of accounts was decoded as an empty one. Ruled out: a configuration that was not adopted (a key revoked earlier was refused by the same way).

Change: the configuration says whether requests need a key: when it has a list of accounts, whatever is in it.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/configuration/RoutingConfiguration.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/configuration/RoutingConfiguration.kt
@@ -79,6 +79,7 @@
  * One version of the operator's configuration, immutable.
  *
  * @property revision store revision of this version.
+ * @property requiresKey whether requests need an API key, except on public routes; also when no account has one.
  * @property accounts client accounts by API key.
  */
 public class RoutingConfiguration(
@@ -87,6 +88,7 @@
     public val routes: List<Route>,
     services: List<ServiceDescription>,
     public val limits: CallerLimits,
+    public val requiresKey: Boolean,
     private val accounts: Map<String, ClientAccount>,
 ) {
     private val byHost: Map<String, Map<String, Route>> =
@@ -95,9 +97,6 @@
     /** The services by id. */
     public val services: Map<ServiceId, ServiceDescription> = services.associateBy(ServiceDescription::service)
 
-    /** Whether requests need an API key. */
-    public val hasAccounts: Boolean get() = accounts.isNotEmpty()
-
     /** Returns the route of [host] with the longest prefix of [path]; `null` when there is none. */
     public fun route(host: String, path: String): Route? {
         val prefixes = byHost[host] ?: return null
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -79,7 +79,7 @@
     private fun admit(configuration: RoutingConfiguration) {
         val route = configuration.route(head.host, head.path) ?: return deny(STATUS_NOT_FOUND, AnswerReason.NO_ROUTE)
         val account = head.apiKey?.let(configuration::account)
-        if (configuration.hasAccounts && !route.isPublic && account == null) {
+        if (configuration.requiresKey && !route.isPublic && account == null) {
             return deny(STATUS_UNAUTHORIZED, AnswerReason.UNKNOWN_KEY)
         }
         if (head.id == null) return deny(STATUS_BAD_REQUEST, AnswerReason.BAD_REQUEST)
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/configuration/ConfigurationHolderTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/configuration/ConfigurationHolderTest.kt
@@ -35,6 +35,7 @@
         routes = emptyList(),
         services = emptyList(),
         limits = CallerLimits(),
+        requiresKey = false,
         accounts = emptyMap(),
     )
 
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/configuration/RoutingConfigurationTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/configuration/RoutingConfigurationTest.kt
@@ -26,6 +26,7 @@
         ),
         services = emptyList(),
         limits = CallerLimits(),
+        requiresKey = false,
         accounts = emptyMap(),
     )
 
