--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -215,14 +215,14 @@
             endpoint.load = it
             endpoint.loadReportedAt = lastActivity
         }
-        if (!decoded.isMisdirected) recordLeaving(decoded)
+        recordLeaving(decoded)
         if (decoded.requestId != null && decoded.requestId != head.id) {
             request.caller.log("skipped_response", "endpoint" to endpoint, "of" to decoded.requestId.value)
             return false
         }
         this.response = response
         responseHead = decoded
-        if (!decoded.isMisdirected) recordLimit(decoded)
+        recordLimit(decoded)
         when {
             // It may repeat a response to an earlier request.
             decoded.requestId == null && connection.hasCarriedResponse -> fail("response without request id")
@@ -238,8 +238,12 @@
         return true
     }
 
-    /** Records that the endpoint states that it will end, in any response, also in one to another request. */
+    /**
+     * Records that the endpoint states that it will end, in any response, also in one to another request. A misdirected
+     * request was answered by another endpoint.
+     */
     private fun recordLeaving(decoded: ResponseHead) {
+        if (decoded.isMisdirected) return
         val statement = decoded.statement
         statement.malformedLeaving?.let(::recordMalformed)
         if (!statement.isLeaving || endpoint.startId != endpointStart) return
@@ -257,6 +261,7 @@
 
     /** Records the limit that the endpoint states. The end of a limit is accepted in a signed response only. */
     private fun recordLimit(decoded: ResponseHead) {
+        if (decoded.isMisdirected) return
         val statement = decoded.statement
         if (statement.malformedLimit != null) return recordMalformed(statement.malformedLimit)
         if (statement.requestsPerSecond == null && !decoded.isSigned) return
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -59,7 +59,7 @@
     /** Called with an endpoint that has stated itself, for the first time, that it will end. */
     public var onLeaving: (Endpoint) -> Unit = {}
 
-    /** Whether the state that the instances share in the store has been read, without which versions may be mixed up. */
+    /** Whether what the instances share in the store has been read; without it, sessions may change versions. */
     public var isFleetKnown: Boolean = true
 
     /** Whether this instance is shutting down; answers then ask callers to close their connections. */
