Caller connections: a caller that never reads its last answer is closed after a second idle timeout

Since a connection is closed only when its last answer has been sent, one whose caller does not read it stayed open without end after the idle timeout. It is closed by force when the same time has passed again.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
@@ -282,7 +282,13 @@
     private fun startBodyTimer() =
         startTimer(minOf(limits.idleTimeout, bodyDeadline - context.timeSource.markNow())) { onReadTimeout() }
 
-    private fun startIdleTimer() = startTimer(limits.idleTimeout) { if (isIdle) closeAfterWrites() }
+    private fun startIdleTimer() = startTimer(limits.idleTimeout) { if (isIdle) onIdleTimeout() }
+
+    /** Closes the connection; a caller that has not read its last answer gets the same time once more. */
+    private fun onIdleTimeout() {
+        closeAfterWrites()
+        startTimer(limits.idleTimeout, ::close)
+    }
 
     private fun startTimer(delay: Duration, task: () -> Unit) {
         timer?.cancel(false)
