Router: bytes that belong to no request, and repeats that are denied, can be seen

A connection closed for bytes without a request left no trace, a send named neither its connection nor its service, and a repeat did not say what was spent and allowed, nor for how many instances; one that was denied left no line. Now: unexpected_bytes with counter, connection and service in send, the balance in repeat and repeat_denied with counter. No decision changes: the conditions of a repeat are checked in the order in which they were, and the budget is charged last.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -12,6 +12,12 @@
 /** The reason for which a request was sent to an endpoint again. */
 public enum class RepeatReason { CONNECT_FAILED, STATED_NOT_RUN, BROKEN, SILENT, SERVER_ERROR, LOW_CONFIDENCE, RESUMED }
 
+/** The reason for which a request was not sent to an endpoint again. */
+public enum class RepeatDenial { ATTEMPTS_SPENT, NO_TIME_LEFT, NO_ENDPOINT, NOT_REPEATABLE, BUDGET_SPENT }
+
+/** When an endpoint sent bytes that belong to no request. */
+public enum class UnexpectedBytes { WHILE_IDLE, AFTER_RESPONSE }
+
 /** Counters and histograms of the data path. The counters of all reasons are exported from the start, as zero. */
 public class RouterMetrics(public val registry: PrometheusRegistry = PrometheusRegistry()) {
     private val answers = Counter.builder().name("quetzalfield_answers_total")
@@ -20,6 +26,11 @@
         .help("Answers of this instance's own, by reason").labelNames("reason").register(registry)
     private val repeats = Counter.builder().name("quetzalfield_repeats_total")
         .help("Requests sent to an endpoint once more, by reason").labelNames("reason").register(registry)
+    private val repeatDenials = Counter.builder().name("quetzalfield_repeats_denied_total")
+        .help("Requests that were not sent to an endpoint once more, by reason").labelNames("reason").register(registry)
+    private val unexpectedBytes = Counter.builder().name("quetzalfield_unexpected_bytes_total")
+        .help("Connections on which an endpoint sent bytes that belong to no request").labelNames("when")
+        .register(registry)
     private val connections = Counter.builder().name("quetzalfield_endpoint_connections_total")
         .help("Connections opened to endpoints").register(registry)
     private val cancelled = Counter.builder().name("quetzalfield_cancelled_total")
@@ -55,6 +66,8 @@
             .register(registry)
         AnswerReason.entries.forEach { own.initLabelValues(it.name.lowercase()) }
         RepeatReason.entries.forEach { repeats.initLabelValues(it.name.lowercase()) }
+        RepeatDenial.entries.forEach { repeatDenials.initLabelValues(it.name.lowercase()) }
+        UnexpectedBytes.entries.forEach { unexpectedBytes.initLabelValues(it.name.lowercase()) }
         listOf(PART, REQUEST).forEach { blamed.initLabelValues(it) }
         (LimitChange.entries - LimitChange.NONE).forEach { limitChanges.initLabelValues(it.name.lowercase()) }
     }
@@ -77,6 +90,16 @@
         repeats.labelValues(reason.name.lowercase()).inc()
     }
 
+    /** Counts a request that was not sent again. */
+    public fun countRepeatDenied(reason: RepeatDenial) {
+        repeatDenials.labelValues(reason.name.lowercase()).inc()
+    }
+
+    /** Counts a connection on which an endpoint sent bytes that belong to no request. */
+    public fun countUnexpectedBytes(time: UnexpectedBytes) {
+        unexpectedBytes.labelValues(time.name.lowercase()).inc()
+    }
+
     /** Counts a connection opened to an endpoint. */
     public fun countConnection() {
         connections.inc()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -74,7 +74,12 @@
     private val sessions = ActiveSessions(timeSource)
     private val sessionHolds = SessionHolds()
     private val limits = EndpointLimits(timeSource) { members.sharers }
-    private val connections = EndpointConnections(eventLoop, timeSource, metrics::countConnection)
+    private val connections = EndpointConnections(
+        eventLoop,
+        timeSource,
+        onOpened = metrics::countConnection,
+        onUnexpectedBytes = metrics::countUnexpectedBytes,
+    )
     private val crashes = CrashGuard(eventLoop, connections, metrics, timeSource, ::trialRank)
     private val context = RoutingContext(
         eventLoop = eventLoop,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RetryAllowance.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RetryAllowance.kt
@@ -16,6 +16,16 @@
  */
 public data class RetryBounds(val ratio: Double, val slack: Double, val window: Duration)
 
+/**
+ * The repeated sends of one instance to a service in the current window.
+ *
+ * @property spent sends that were made.
+ * @property allowed sends that may be made.
+ * @property requests callers' requests from which [allowed] was computed.
+ * @property instances number of instances that share the slack.
+ */
+public data class RetryBalance(val spent: Int, val allowed: Double, val requests: Int, val instances: Int)
+
 /**
  * Limits repeated sends to a service, so that they do not add to the load of a failing service.
  *
@@ -49,14 +59,25 @@
 
     /** Spends one repeated send to [service]; `false` when the limit does not allow it. */
     public fun trySpend(service: ServiceId): Boolean {
-        val window = windowOf(service)
-        val slack = bounds.slack * SAFE_SHARE / memberCount().coerceAtLeast(1)
-        val allowed = bounds.ratio * SAFE_SHARE * window.requests.size + slack
-        val isAllowed = window.repeats.size + 1 <= allowed
-        if (isAllowed) window.repeats.addLast(timeSource.markNow())
+        val balance = balance(service)
+        val isAllowed = balance.spent + 1 <= balance.allowed
+        if (isAllowed) windowOf(service).repeats.addLast(timeSource.markNow())
         return isAllowed
     }
 
+    /** What this instance may spend on [service] in the current window, and what it has spent. */
+    public fun balance(service: ServiceId): RetryBalance {
+        val window = windowOf(service)
+        val instances = memberCount().coerceAtLeast(1)
+        val slack = bounds.slack * SAFE_SHARE / instances
+        return RetryBalance(
+            spent = window.repeats.size,
+            allowed = bounds.ratio * SAFE_SHARE * window.requests.size + slack,
+            requests = window.requests.size,
+            instances = instances,
+        )
+    }
+
     /** Takes the last [trySpend] for [service] back, as nothing was sent. */
     public fun giveBack(service: ServiceId) {
         windowOf(service).repeats.removeLastOrNull()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -110,6 +110,8 @@
         request.caller.log(
             "send",
             "endpoint" to endpoint,
+            "connection" to connection.number,
+            "service" to request.service.value,
             "version" to endpoint.description.version.value,
             "session" to head.session?.value,
             "model" to askedModel?.value,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -20,6 +20,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.AsciiString
 import io.netty.util.ReferenceCountUtil
+import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.forwarding.UnexpectedBytes
 import io.quetzalfield.model.HostPort
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
@@ -47,6 +49,7 @@
 /**
  * A connection to an endpoint, which carries one request at a time. Used on the event loop only.
  *
+ * @property number identifies the connection in log lines.
  * @property generation number of the connections to [address] that were opened before the same end of its process.
  */
 public class EndpointConnection(
@@ -54,6 +57,8 @@
     private val timeSource: TimeSource.WithComparableMarks,
     private val onClosed: (EndpointConnection) -> Unit,
     private val onIdle: (EndpointConnection) -> Unit,
+    private val onUnexpectedBytes: (UnexpectedBytes) -> Unit = {},
+    public val number: Long = 0,
     internal val generation: Int = 0,
 ) : ChannelInboundHandlerAdapter() {
     private var listener: ResponseListener? = null
@@ -82,9 +87,11 @@
     public var keepAlive: Duration = DefaultKeepAlive
         private set
 
+    private val decoder = MethodAwareDecoder()
+
     internal val initializer = object : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            channel.pipeline().addLast(MethodAwareDecoder(), HttpRequestEncoder(), this@EndpointConnection)
+            channel.pipeline().addLast(ByteMonitor(), decoder, HttpRequestEncoder(), this@EndpointConnection)
         }
     }
 
@@ -154,6 +161,7 @@
         listener = null
         hasCarriedResponse = true
         idleSince = timeSource.markNow()
+        if (decoder.undecodedBytes > 0) reportUnexpected(UnexpectedBytes.AFTER_RESPONSE, decoder.undecodedBytes)
         if (isReusable && isWritten && channel.isActive) onIdle(this) else channel.close()
         current.onEnd()
     }
@@ -175,6 +183,17 @@
         current?.onFailure(reason, isConnectionLost)
     }
 
+    private fun reportUnexpected(time: UnexpectedBytes, bytes: Int) {
+        onUnexpectedBytes(time)
+        DecisionLog.write(
+            "unexpected_bytes",
+            "address" to address,
+            "connection" to number,
+            "when" to time,
+            "bytes" to bytes,
+        )
+    }
+
     private fun isFramed(response: HttpMessage) =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
 
@@ -183,7 +202,20 @@
         ?.firstNotNullOfOrNull { it.trim().takeIf { part -> part.startsWith(TIMEOUT) }?.removePrefix(TIMEOUT) }
         ?.toIntOrNull()?.seconds
 
+    /** Sees bytes as they arrive, also those that are not a whole message yet. */
+    private inner class ByteMonitor : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (listener == null && message is ByteBuf) {
+                reportUnexpected(UnexpectedBytes.WHILE_IDLE, message.readableBytes())
+            }
+            context.fireChannelRead(message)
+        }
+    }
+
     private inner class MethodAwareDecoder : HttpResponseDecoder(HttpDecoderConfig()) {
+        /** Bytes that were received and are part of no message so far. */
+        val undecodedBytes: Int get() = actualReadableBytes()
+
         override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
             requestMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
+import io.quetzalfield.forwarding.UnexpectedBytes
 import io.quetzalfield.model.HostPort
 import jdk.net.ExtendedSocketOptions
 import java.net.ConnectException
@@ -22,6 +23,7 @@
     private val eventLoop: EventLoop,
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     private val onOpened: () -> Unit = {},
+    private val onUnexpectedBytes: (UnexpectedBytes) -> Unit = {},
 ) {
     private class Pool {
         val idle = ArrayDeque<EndpointConnection>()
@@ -32,6 +34,7 @@
     }
 
     private val pools = HashMap<HostPort, Pool>()
+    private var openedConnections = 0L
 
     /**
      * Calls [onReady] with a connection to [address]: the most recently used idle one or a new one.
@@ -112,6 +115,8 @@
             timeSource,
             onClosed = { closed -> remove(pool, closed) },
             onIdle = ::keep,
+            onUnexpectedBytes = onUnexpectedBytes,
+            number = ++openedConnections,
             generation = pool.generation,
         )
         bootstrap(connection).connect(address.host, address.port).addListener { future ->
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpRequest
 import io.quetzalfield.forwarding.DecisionLog
+import io.quetzalfield.forwarding.RepeatDenial
 import io.quetzalfield.forwarding.RepeatReason
 import io.quetzalfield.forwarding.choice.FirstAnswer
 import io.quetzalfield.forwarding.choice.Placement
@@ -303,30 +304,51 @@
 
         /** Sends the request again, or refuses it, and returns `true`, if the route and the retry budget allow it. */
         private fun tryRepeat(reason: RepeatReason, isNewRun: Boolean): Boolean {
-            val isAllowed = hasAttemptLeft() &&
-                candidates.hasOpen &&
-                (!progress.hasBegun || progress.isContinuable) &&
-                (!isNewRun || !runs.mayHaveRun || route.isRepeatable) &&
-                context.retryAllowance.trySpend(service)
-            if (!isAllowed) return false
+            val isRepeatable = !isNewRun || !runs.mayHaveRun || route.isRepeatable
+            if (!trySpendRepeat(reason, denialOf(isRepeatable))) return false
             if (!isAdmitted()) {
                 context.retryAllowance.giveBack(service)
                 giveUp(AnswerReason.QUARANTINED)
                 return true
             }
-            caller.log("repeat", "reason" to reason, "attempts" to attemptsSent, "remaining" to request.remaining)
             sendAgain(reason)
             return true
         }
 
+        /** Returns why the request may not be sent again, apart from the retry budget; `null` if it may. */
+        private fun denialOf(isRepeatable: Boolean): RepeatDenial? = when {
+            attemptsSent >= route.attemptLimit -> RepeatDenial.ATTEMPTS_SPENT
+            request.remaining <= ShortestAttempt -> RepeatDenial.NO_TIME_LEFT
+            !candidates.hasOpen -> RepeatDenial.NO_ENDPOINT
+            !isRepeatable || (progress.hasBegun && !progress.isContinuable) -> RepeatDenial.NOT_REPEATABLE
+            else -> null
+        }
+
+        /** Charges a repeat for [reason] to the retry budget, unless there is a [denial] or nothing is left. */
+        private fun trySpendRepeat(reason: RepeatReason, denial: RepeatDenial?): Boolean {
+            val isCharged = denial == null && context.retryAllowance.trySpend(service)
+            val denied = if (isCharged) null else denial ?: RepeatDenial.BUDGET_SPENT
+            denied?.let(context.metrics::countRepeatDenied)
+            val balance = context.retryAllowance.balance(service)
+            caller.log(
+                if (isCharged) "repeat" else "repeat_denied",
+                "reason" to reason,
+                "denied" to denied,
+                "attempts" to attemptsSent,
+                "remaining" to request.remaining,
+                "service" to service.value,
+                "spent" to balance.spent,
+                "allowed" to balance.allowed.toInt(),
+                "instances" to balance.instances,
+            )
+            return isCharged
+        }
+
         private fun sendAgain(reason: RepeatReason) {
             context.metrics.countRepeat(reason)
             send()
         }
 
-        /** Whether the route and the remaining time allow another send. */
-        private fun hasAttemptLeft() = attemptsSent < route.attemptLimit && request.remaining > ShortestAttempt
-
         private fun timeOut() {
             if (isFinished) return
             attempt?.timeOut()
@@ -337,14 +359,12 @@
             val larger = context.cascade.next(route.models, asked, answer) ?: return null
             // The part of a limited endpoint is left for requests that have no answer yet.
             if (!candidates.hasUnlimited) return null
-            val isAllowed = attemptsSent < route.attemptLimit && context.retryAllowance.trySpend(service)
-            return larger.takeIf { isAllowed }
+            val denial = if (attemptsSent < route.attemptLimit) null else RepeatDenial.ATTEMPTS_SPENT
+            return larger.takeIf { trySpendRepeat(RepeatReason.LOW_CONFIDENCE, denial) }
         }
 
-        override fun tryLeaveSilentEndpoint(): Boolean = hasAttemptLeft() &&
-            candidates.hasOpen &&
-            (!progress.hasBegun || progress.isContinuable) &&
-            context.retryAllowance.trySpend(service)
+        override fun tryLeaveSilentEndpoint(): Boolean =
+            trySpendRepeat(RepeatReason.SILENT, denialOf(isRepeatable = true))
 
         override fun onEnded(attempt: Attempt, outcome: AttemptOutcome) {
             if (this.attempt === attempt) this.attempt = null
