Endpoint connections: the beginning of a second answer is not taken for that of the next one

What callers saw (MIXED): a success with their own id and a valid signature, where the endpoint had answered a failure; also for bookings, which are sent once. Cause: a connection counted as clean until a whole message was decoded. The first bytes of a second answer that was broken off stayed in the decoder, and the next answer was decoded as their continuation: the status of the first, and id, signature and body of the second. Change: a connection on which bytes arrive that no request asked for is closed as they arrive, whole message or not; one on which bytes follow a response, or which carried a response to another request, is not kept. Bytes that arrive after the next request was sent can't be told by time: a head that contains a second status line, or different ids or signatures, is malformed.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -217,6 +217,10 @@
             endpoint.load = it
             endpoint.loadReportedAt = lastActivity
         }
+        if (decoded.isAmbiguous) {
+            fail("response with several request ids or signatures")
+            return true
+        }
         recordLeaving(decoded)
         if (decoded.requestId != null && decoded.requestId != head.id) {
             request.caller.log("skipped_response", "endpoint" to endpoint, "of" to decoded.requestId.value)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Dialect.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Dialect.kt
@@ -76,6 +76,7 @@
  * The decoded head of an endpoint's response.
  *
  * @property isSigned whether the response has the runner's signature.
+ * @property isAmbiguous whether the head has different request ids or signatures, as that of two responses.
  * @property isNotRun whether the runner states that the request did not run.
  * @property isMisdirected whether a runner other than the expected one responded, without running the request.
  * @property confidence the model's confidence in its answer, from 0 to 100.
@@ -85,6 +86,7 @@
     val status: Int,
     val requestId: RequestId?,
     val isSigned: Boolean,
+    val isAmbiguous: Boolean,
     val isNotRun: Boolean,
     val isMisdirected: Boolean,
     val confidence: Int?,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -91,7 +91,7 @@
 
     internal val initializer = object : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            channel.pipeline().addLast(ByteMonitor(), decoder, HttpRequestEncoder(), this@EndpointConnection)
+            channel.pipeline().addLast(IdleByteGuard(), decoder, HttpRequestEncoder(), this@EndpointConnection)
         }
     }
 
@@ -131,6 +131,8 @@
     }
 
     private fun readHead(current: ResponseListener, response: HttpResponse) {
+        val defect = ResponseHeadCheck.defectOf(response)
+        if (defect != null) return fail("malformed response: $defect")
         if (response.status().code() < FIRST_FINAL_STATUS) {
             isSkipping = true
             if (++informationalResponses > INFORMATIONAL_RESPONSE_LIMIT) fail("too many informational responses")
@@ -161,8 +163,11 @@
         listener = null
         hasCarriedResponse = true
         idleSince = timeSource.markNow()
-        if (decoder.undecodedBytes > 0) reportUnexpected(UnexpectedBytes.AFTER_RESPONSE, decoder.undecodedBytes)
-        if (isReusable && isWritten && channel.isActive) onIdle(this) else channel.close()
+        val following = decoder.undecodedBytes
+        if (following > 0) reportUnexpected(UnexpectedBytes.AFTER_RESPONSE, following)
+        // More may follow an extra response, and its beginning would be taken for that of the next one.
+        val isClean = following == 0 && skippedResponses == 0
+        if (isClean && isReusable && isWritten && channel.isActive) onIdle(this) else channel.close()
         current.onEnd()
     }
 
@@ -202,13 +207,19 @@
         ?.firstNotNullOfOrNull { it.trim().takeIf { part -> part.startsWith(TIMEOUT) }?.removePrefix(TIMEOUT) }
         ?.toIntOrNull()?.seconds
 
-    /** Sees bytes as they arrive, also those that are not a whole message yet. */
-    private inner class ByteMonitor : ChannelInboundHandlerAdapter() {
+    /**
+     * Closes the connection when bytes arrive that no request asked for, also if they are not a whole message yet: the
+     * decoder would take them for the beginning of the next response.
+     */
+    private inner class IdleByteGuard : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (listener == null && message is ByteBuf) {
-                reportUnexpected(UnexpectedBytes.WHILE_IDLE, message.readableBytes())
+            if (listener != null || message !is ByteBuf) {
+                context.fireChannelRead(message)
+                return
             }
-            context.fireChannelRead(message)
+            reportUnexpected(UnexpectedBytes.WHILE_IDLE, message.readableBytes())
+            message.release()
+            context.close()
         }
     }
 
