Repeats: a request that is sent again does not use a connection that it used before

What callers saw: the late second answer to the first send of a request, in place of the answer to its repeat (MIXED). Cause: a repeat has the id of the send before it, so that on the same connection the id does not tell their answers apart. A complete answer with a failure returns its connection to the pool, and the repeat takes the one used last. Other ways of a repeat were looked at: after a loss, a silence, a low confidence or a statement that it did not run, the connection is closed.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
@@ -41,19 +41,21 @@
      *
      * @param limit maximum number of connections of this instance to the address.
      * @param idleFraction fraction of the endpoint's idle timeout up to which an idle connection is reused.
+     * @param excluded idle connections that are not reused.
      */
     public fun acquire(
         address: HostPort,
         limit: Int,
         idleFraction: Double,
+        excluded: Set<EndpointConnection> = emptySet(),
         onFailure: (ConnectFailure) -> Unit,
         onReady: (EndpointConnection) -> Unit,
     ) {
         val pool = pools.getOrPut(address, ::Pool)
-        val idle = pool.takeIdle(idleFraction)
+        val idle = pool.takeIdle(idleFraction, excluded)
         when {
             idle != null -> onReady(idle)
-            pool.open >= limit -> onFailure(ConnectFailure.LIMIT_REACHED)
+            pool.open >= limit && !pool.closeIdle(excluded) -> onFailure(ConnectFailure.LIMIT_REACHED)
             else -> open(address, pool, onFailure, onReady)
         }
     }
@@ -92,15 +94,23 @@
         }
     }
 
-    private fun Pool.takeIdle(idleFraction: Double): EndpointConnection? {
+    private fun Pool.takeIdle(idleFraction: Double, excluded: Set<EndpointConnection>): EndpointConnection? {
         val now = timeSource.markNow()
-        while (idle.isNotEmpty()) {
-            val connection = idle.removeLast()
+        while (true) {
+            val connection = idle.lastOrNull { it !in excluded } ?: return null
+            idle.remove(connection)
             val isFresh = now - connection.idleSince < connection.keepAlive * idleFraction
             if (isFresh && connection.channel.isActive) return connection
             connection.abandon()
         }
-        return null
+    }
+
+    /** Closes one of the idle connections in [excluded], to make room for a new one; `false` if there is none. */
+    private fun Pool.closeIdle(excluded: Set<EndpointConnection>): Boolean {
+        val connection = idle.firstOrNull { it in excluded } ?: return false
+        idle.remove(connection)
+        connection.abandon()
+        return true
     }
 
     private fun open(
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -168,6 +168,12 @@
         private var isTrial = false
         private val onMoreRefused = ::leaveIfRefused
 
+        /**
+         * Connections over which the request was sent. A repeat does not use them: it has the same id, and a late second
+         * response to an earlier send would be taken for the response to the repeat.
+         */
+        private val usedConnections = HashSet<EndpointConnection>()
+
         private val deadlineTimer = context.eventLoop.schedule(request.remaining, ::timeOut)
 
         /** The running attempt. */
@@ -202,6 +208,7 @@
                 endpoint.description.address,
                 limit = context.connectionLimit(service),
                 idleFraction = if (route.isRepeatable) IDLE_FRACTION_REPEATABLE else IDLE_FRACTION_OTHERS,
+                excluded = usedConnections,
                 onFailure = { failure -> onConnectFailed(endpoint, failure) },
                 onReady = { connection -> onConnected(placement, connection) },
             )
@@ -280,6 +287,7 @@
             }
             context.limits.recordSend(placement.endpoint)
             attemptsSent++
+            usedConnections += connection
             runs.recordSend()
             recordSessionVersion(placement.endpoint)
             val next = Attempt(request, progress, reply, owner = this, placement, connection, model)
