Responses without length, and bodies that are broken off: whole only if that is shown

What callers saw (MIXED): 200 with the first part of an answer, with a length that made it look whole. Causes, one class: the end of a response was inferred from what may come for another reason. - The operating system closes the connections of a process that ends, normally if no unread bytes wait. A response without length that was broken off by the end of its process looked whole. A success that ends with its connection is now passed on only if the endpoint accepts another connection, which is kept for later requests. - A second response that follows a body that was broken off fills it up to its length. What is left over is then no beginning of a response, and the body has a status line in it: such a response is broken. Not covered: an endpoint that is restarted within the time of a connection; a chunk of a stream that is filled up with a whole further response.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -372,14 +372,36 @@
         if (!reply.isWritable) setAutoRead(false)
     }
 
-    override fun onEnd() {
+    override fun onEnd(end: ResponseEnd) {
         val decoded = responseHead
         if (isOver || decoded == null) return
         val events = splitter
         when {
-            events == null -> endComplete(decoded)
-            events.hasPartialEvent || !progress.hasBegun -> fail("stream ended within an event")
-            else -> endStream(decoded)
+            events != null && (events.hasPartialEvent || !progress.hasBegun) -> fail("stream ended within an event")
+            end is ResponseEnd.Followed && isFilledUpBefore(end.beginning) -> fail("response body contains another one")
+            end is ResponseEnd.ConnectionClosed && isSuccess(decoded) -> checkEndpointOutlives(decoded)
+            else -> complete(decoded)
+        }
+    }
+
+    private fun complete(decoded: ResponseHead) = if (splitter == null) endComplete(decoded) else endStream(decoded)
+
+    /** Whether the body was broken off and filled up with the next response, which goes on with [following]. */
+    private fun isFilledUpBefore(following: String): Boolean =
+        bodyBuffer?.let { ResponseHeadCheck.isFilledUp(it.toString(Charsets.ISO_8859_1), following) } ?: false
+
+    /**
+     * Completes a response that ended with its connection if the endpoint accepts another one. When a process ends, its
+     * connections are closed normally, so that a response without length looks whole wherever it was broken off.
+     */
+    private fun checkEndpointOutlives(decoded: ResponseHead) {
+        context.connections.probe(endpoint.description.address) { failure ->
+            if (isOver) return@probe
+            if (failure == null) {
+                complete(decoded)
+            } else {
+                fail("the endpoint ended with a response without length: $failure", isConnectionLost = true)
+            }
         }
     }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -28,6 +28,18 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
+/** How the end of a response was recognized. */
+public sealed interface ResponseEnd {
+    /** By its length or the end of its last chunk. */
+    public data object Marked : ResponseEnd
+
+    /** Likewise, while further bytes have been received that begin with [beginning] and belong to no request. */
+    public data class Followed(val beginning: String) : ResponseEnd
+
+    /** By the end of the connection, which does not show that the endpoint had sent all of it. */
+    public data object ConnectionClosed : ResponseEnd
+}
+
 /** Receives the response to one request on an [EndpointConnection]. */
 public interface ResponseListener {
     /** Called for the response head. Returns `false` if it belongs to another request and the response is skipped. */
@@ -36,8 +48,8 @@
     /** Called for each part of the body, which the listener releases. */
     public fun onContent(content: ByteBuf)
 
-    /** Called when the response is complete. */
-    public fun onEnd()
+    /** Called when the response has ended. */
+    public fun onEnd(end: ResponseEnd)
 
     /**
      * Called when the connection fails before the response is complete. [isConnectionLost] if the endpoint or the
@@ -69,6 +81,7 @@
     private var skippedBytes = 0L
     private var informationalResponses = 0
     private var isReusable = true
+    private var endsWithConnection = false
     private var requestMethod: HttpMethod = HttpMethod.GET
 
     /** Whether a response to another request than the present one has been received. */
@@ -139,6 +152,7 @@
             return
         }
         isReusable = HttpUtil.isKeepAlive(response) && isFramed(response)
+        endsWithConnection = !isFramed(response) && !decoder.hasNoBody(response)
         keepAliveOf(response)?.let { keepAlive = it }
         isSkipping = !current.onHead(response)
         hasCarriedResponse = hasCarriedResponse || isSkipping
@@ -163,12 +177,19 @@
         listener = null
         hasCarriedResponse = true
         idleSince = timeSource.markNow()
-        val following = decoder.undecodedBytes
-        if (following > 0) reportUnexpected(UnexpectedBytes.AFTER_RESPONSE, following)
+        val following = decoder.undecodedBeginning()
+        if (following.isNotEmpty()) reportUnexpected(UnexpectedBytes.AFTER_RESPONSE, decoder.undecodedBytes)
         // More may follow an extra response, and its beginning would be taken for that of the next one.
-        val isClean = following == 0 && skippedResponses == 0
-        if (isClean && isReusable && isWritten && channel.isActive) onIdle(this) else channel.close()
-        current.onEnd()
+        val isClean = following.isEmpty() && skippedResponses == 0
+        val mayCarryAnother = isClean && isReusable && isWritten
+        if (mayCarryAnother && channel.isActive) onIdle(this) else channel.close()
+        current.onEnd(
+            when {
+                endsWithConnection -> ResponseEnd.ConnectionClosed
+                following.isNotEmpty() -> ResponseEnd.Followed(following)
+                else -> ResponseEnd.Marked
+            },
+        )
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
@@ -227,6 +248,16 @@
         /** Bytes that were received and are part of no message so far. */
         val undecodedBytes: Int get() = actualReadableBytes()
 
+        /** The first of the [undecodedBytes]. */
+        fun undecodedBeginning(): String {
+            if (undecodedBytes == 0) return ""
+            val bytes = internalBuffer()
+            return bytes.toString(bytes.readerIndex(), minOf(undecodedBytes, BEGINNING_LENGTH), Charsets.ISO_8859_1)
+        }
+
+        /** Whether [message] is complete with its head. */
+        fun hasNoBody(message: HttpMessage): Boolean = isContentAlwaysEmpty(message)
+
         override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
             requestMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
     }
@@ -244,6 +275,9 @@
         /** Informational responses to one request; servers usually send one or two. */
         const val INFORMATIONAL_RESPONSE_LIMIT = 8
 
+        /** Bytes; more than the beginning of a status line with the status. */
+        const val BEGINNING_LENGTH = 16
+
         /** A common idle timeout of HTTP servers, used for endpoints that do not send theirs. */
         val DefaultKeepAlive = 5.seconds
         val KEEP_ALIVE: CharSequence = AsciiString.cached("keep-alive")
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -169,8 +169,8 @@
         private val onMoreRefused = ::leaveIfRefused
 
         /**
-         * Connections over which the request was sent. A repeat does not use them: it has the same id, and a late second
-         * response to an earlier send would be taken for the response to the repeat.
+         * Connections over which the request was sent. A repeat does not use them: it has the same id, and a late
+         * second response to an earlier send would be taken for the response to the repeat.
          */
         private val usedConnections = HashSet<EndpointConnection>()
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/ResponseHeadCheck.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/ResponseHeadCheck.kt
@@ -1,20 +1,19 @@
 package io.quetzalfield.forwarding.http
 
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpVersion
 
 /**
- * Detects a head that consists of two: the beginning of a response that was broken off and the head of the next
- * response on the same connection. A parser takes the status of the first and the remaining headers of the second.
+ * Detects two responses that were read as one.
+ *
+ * A head may consist of two: the beginning of a response that was broken off and the head of the next response on the
+ * same connection. A parser takes the status of the first and the remaining headers of the second. A body that was
+ * broken off may be filled up with the beginning of the next response.
  */
 internal object ResponseHeadCheck {
     private val StatusLine = Regex("""HTTP/\d\.\d \d{3}""")
-    private val Versions = setOf(HttpVersion.HTTP_1_1, HttpVersion.HTTP_1_0)
 
     /** Returns what is wrong with the head of [response]; `null` if it is a single one. */
     fun defectOf(response: HttpResponse): String? = when {
-        response.protocolVersion() !in Versions -> "unknown version of HTTP"
-
         containsStatusLine(response.status().reasonPhrase()) -> "two status lines"
 
         response.headers().any { (name, value) -> containsStatusLine(name) || containsStatusLine(value) } ->
@@ -23,6 +22,9 @@
         else -> null
     }
 
-    /** Whether a response may begin within [text]. */
-    fun containsStatusLine(text: CharSequence): Boolean = StatusLine.containsMatchIn(text)
+    /** Whether another response begins within [body], as far as it and the bytes [following] it show. */
+    fun isFilledUp(body: String, following: String): Boolean =
+        StatusLine.find(body + following)?.let { it.range.first < body.length } ?: false
+
+    private fun containsStatusLine(text: CharSequence): Boolean = StatusLine.containsMatchIn(text)
 }
