Members: instances whose leases have lapsed keep their part of what all instances share

Cause: the slack was divided by the instances that are listed at the moment. After an outage in which all leases lapse, each instance finds itself alone and spends the slack of all, until the others are back. Class: the absence of an entry is read as the absence of an instance. The other readers of that number: the connections to an endpoint were divided by it too, so that each instance took those of all; the estimate of the requests a second, from which a roll-out computes its first share, was too low. All three now use the instances that are listed, were until recently or are this one; the limits that endpoints name had that already, for a shorter time. The period of presence messages and the groups of relays need the list as it is. MembersTest.Parts is new here.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -69,7 +69,7 @@
         failureDomain = settings.failureDomain,
         peerAddress = settings.peerAddress?.toString(),
     )
-    private val members = Members(record, timeSource)
+    private val members = Members(record, timeSource, settings.retryBounds.window + UnlistedWork)
     private val metrics = RouterMetrics()
     private val sessions = ActiveSessions(timeSource)
     private val sessionHolds = SessionHolds()
@@ -87,14 +87,14 @@
         endpoints = EndpointDirectory(timeSource),
         headerCodec = platform.headers,
         metrics = metrics,
-        retryAllowance = RetryAllowance(settings.retryBounds, timeSource) { members.count },
+        retryAllowance = RetryAllowance(settings.retryBounds, timeSource) { members.partCount },
         connections = connections,
         sessions = sessions,
         versions = VersionSplit(timeSource, sessions = sessions, holds = sessionHolds),
         crashes = crashes,
         timeSource = timeSource,
         confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
-        memberCount = { members.count },
+        memberCount = { members.partCount },
         limits = limits,
     )
     private val holdRecords = HoldRecords(platform.store)
@@ -293,6 +293,9 @@
         /** Covers the time from the check of the confirmation to the arrival of the request at an endpoint. */
         private val RevocationMargin = 500.milliseconds
 
+        /** Time for which an instance may go on with requests after its lease has lapsed. */
+        private val UnlistedWork = 5.seconds
+
         /** A third of the lease of the membership. */
         private val MembershipPeriod = 1.seconds
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RetryAllowance.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RetryAllowance.kt
@@ -31,6 +31,8 @@
  *
  * All instances share one limit. Each may spend in proportion to its own requests, and an equal part of the slack; it
  * leaves a margin for sends that another instance cannot see.
+ *
+ * @param memberCount number of instances that may have spent their part of the slack within the window.
  */
 public class RetryAllowance(
     private val bounds: RetryBounds,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
@@ -16,10 +16,16 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/** The instances that accept requests, as listed in the store. Used on the event loop only. */
+/**
+ * The instances that accept requests, as listed in the store. Used on the event loop only.
+ *
+ * @param partRetention time for which an instance that is no longer listed counts among those that have a part of what
+ * all instances share.
+ */
 public class Members(
     private val own: MemberRecord,
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    private val partRetention: Duration = 15.seconds,
 ) {
     private class Presence(val isLeaving: Boolean, val at: ComparableTimeMark)
 
@@ -30,6 +36,10 @@
     private val vanished = HashMap<InstanceId, ComparableTimeMark>()
     private var currentSharers: LimitSharers? = null
 
+    /** Instances that are no longer listed, with the time since which they are not. */
+    private val unlisted = HashMap<InstanceId, ComparableTimeMark>()
+    private var currentPartCount: Int? = null
+
     /** Whether this instance is leaving; its parts of limits then go to the others. */
     public var isLeaving: Boolean = false
         set(value) {
@@ -42,9 +52,23 @@
     private val others: List<MemberRecord>
         get() = listed.values.map(ListedMember::record).filter { it.incarnation != own.incarnation }
 
-    /** Number of instances that share the limits of the whole fleet; at least 1, for this instance. */
+    /** Number of instances that are listed, and this one if it is not; at least 1. */
     public val count: Int get() = if (ownKey in listed) listed.size else listed.size + 1
 
+    /**
+     * Number of instances that may have used their part of what all instances share: those that are listed, those that
+     * were until recently, and this one. When leases lapse, after an outage of the store those of all instances, the
+     * list has fewer than go on.
+     */
+    public val partCount: Int
+        get() {
+            if (unlisted.isNotEmpty()) removeExpired()
+            return currentPartCount
+                ?: (listedInstances() + unlisted.keys + own.incarnation.instance).size.also { currentPartCount = it }
+        }
+
+    private fun listedInstances(): Set<InstanceId> = listed.values.mapTo(HashSet()) { it.record.incarnation.instance }
+
     /**
      * The instances that divide the limits of endpoints. An instance that vanished stays one of them for a while: it
      * may be alive and back at once, as after an outage of the store in which the leases ran out, and parts that grow
@@ -55,7 +79,7 @@
             if (vanished.isNotEmpty()) removeExpired()
             return currentSharers ?: LimitSharers(
                 own = own.incarnation.instance.takeIf { ownKey in listed && !isLeaving },
-                all = listed.values.mapTo(HashSet()) { it.record.incarnation.instance } + vanished.keys,
+                all = listedInstances() + vanished.keys,
             ).also { currentSharers = it }
         }
 
@@ -79,16 +103,22 @@
         val before = listed.values.map { it.record.incarnation }
         listed.clear()
         values.forEach(::put)
-        before.forEach(::recordIfVanished)
+        before.forEach(::recordUnlisted)
         updatePeers()
     }
 
     /** Applies one change of the list. */
     public fun update(change: StoreChange) {
         val value = change.value
-        if (value != null) put(value) else listed.remove(change.key)?.let { recordIfVanished(it.record.incarnation) }
+        if (value != null) put(value) else listed.remove(change.key)?.let { recordUnlisted(it.record.incarnation) }
         updatePeers()
-        DecisionLog.write("member_change", "key" to change.key, "is_listed" to (value != null), "members" to count)
+        DecisionLog.write(
+            "member_change",
+            "key" to change.key,
+            "is_listed" to (value != null),
+            "members" to count,
+            "parts" to partCount,
+        )
     }
 
     /** Records a message of [incarnation] itself at [at], which the store may not be able to show. */
@@ -128,16 +158,21 @@
     private fun removeExpired() {
         val now = timeSource.markNow()
         if (vanished.values.removeIf { now - it > VanishedRetention }) currentSharers = null
+        if (unlisted.values.removeIf { now - it > partRetention }) currentPartCount = null
     }
 
-    private fun recordIfVanished(incarnation: Incarnation) {
+    private fun recordUnlisted(incarnation: Incarnation) {
         val isListed = listed.values.any { it.record.incarnation.instance == incarnation.instance }
+        if (isListed) return
+        val now = timeSource.markNow()
+        unlisted[incarnation.instance] = now
         val hasLeft = lastPresence[incarnation]?.isLeaving == true
-        if (!isListed && !hasLeft) vanished[incarnation.instance] = timeSource.markNow()
+        if (!hasLeft) vanished[incarnation.instance] = now
     }
 
     private fun updatePeers() {
         currentSharers = null
+        currentPartCount = null
         peers = others
             .mapNotNull { record ->
                 val address = record.peerAddress?.let(HostPort::parse) ?: return@mapNotNull null
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -29,7 +29,7 @@
  *
  * @property confirmationBound age of its last confirmation up to which the configuration is current; `null` for no
  * bound.
- * @property memberCount number of instances that accept requests now.
+ * @property memberCount number of instances that may have connections to endpoints.
  */
 public class RoutingContext(
     public val eventLoop: EventLoop,
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembersTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembersTest.kt
@@ -68,6 +68,42 @@
         assertEquals(listOf(1, 2, 3, 4), given())
     }
 
+    /** Load pattern: instances end, are restarted or lose their leases after they have spent of what all share. */
+    @Nested
+    inner class Parts {
+        /** In BUDGET, each instance took itself for the only one after an outage of the store. */
+        @Test
+        fun `instances whose leases have lapsed still count`() {
+            members.replace(emptyList())
+            assertEquals(4, members.partCount)
+            assertEquals(1, members.count)
+            list(1, 2, 3, 4)
+            assertEquals(4, members.partCount)
+        }
+
+        @Test
+        fun `an instance that has left, or vanished, counts until what it has spent has expired`() {
+            hear(3, isLeaving = true)
+            list(1, 2)
+            time += 15.seconds
+            assertEquals(4, members.partCount)
+            time += 1.seconds
+            assertEquals(2, members.partCount)
+        }
+
+        @Test
+        fun `an instance that is restarted counts once`() {
+            val restarted = records[3].copy(incarnation = Incarnation(InstanceId("front-4"), "next start"))
+            members.replace(records.take(3).map(::valueOf) + valueOf(restarted))
+            assertEquals(4, members.partCount)
+        }
+
+        @Test
+        fun `an instance that has not read the list counts itself`() {
+            assertEquals(1, Members(own = records[0], time).partCount)
+        }
+    }
+
     /** Load pattern: the leases of instances run out while the store is away, and they join again. */
     @Nested
     inner class LimitSharers {
