Retry budget: a process that has just started spends a tenth of its part of the slack for one window

Cause: what was spent is in the memory of the process alone. Class: knowledge that ends with a process is taken for nothing having happened. Weighed: telling the others what was spent, so that they tell the successor. It would not help after a restart of all at once, which is what the margin is for. The part of the requests is not reduced, as a process counts its own requests only. The window begins anew when the fleet is first known, since an instance that starts in an outage of the store knows no other.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RetryAllowance.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RetryAllowance.kt
@@ -46,6 +46,17 @@
 
     private val windows = HashMap<ServiceId, Window>()
 
+    /** Time from which this instance may spend its whole part of the slack; `null` for from the beginning. */
+    private var fullSlackFrom: ComparableTimeMark? = null
+
+    /**
+     * Reduces the slack for one window: an earlier process of this instance may have spent its part, and other
+     * instances that share the slack may not be known yet.
+     */
+    public fun beginWithoutHistory() {
+        fullSlackFrom = timeSource.markNow() + bounds.window
+    }
+
     /** Counts a caller's request for [service]. */
     public fun countRequest(service: ServiceId) {
         windowOf(service).requests.addLast(timeSource.markNow())
@@ -71,7 +82,8 @@
     public fun balance(service: ServiceId): RetryBalance {
         val window = windowOf(service)
         val instances = memberCount().coerceAtLeast(1)
-        val slack = bounds.slack * SAFE_SHARE / instances
+        val share = if (fullSlackFrom?.hasNotPassedNow() == true) SHARE_WITHOUT_HISTORY else SAFE_SHARE
+        val slack = bounds.slack * share / instances
         return RetryBalance(
             spent = window.repeats.size,
             allowed = bounds.ratio * SAFE_SHARE * window.requests.size + slack,
@@ -97,6 +109,9 @@
         /** Part of the limit that is used; the rest covers sends in flight and members that have just left. */
         const val SAFE_SHARE = 0.8
 
+        /** Half of what [SAFE_SHARE] leaves, as an instance may be restarted twice in a window. */
+        const val SHARE_WITHOUT_HISTORY = 0.1
+
         /** Shortest time over which a rate is computed, also right after the first requests. */
         val ShortestSpan = 1.seconds
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
@@ -31,7 +31,13 @@
         val (records, others) = values.partition { it.key.startsWith(FleetKeys.MEMBERS) }
         eventLoop.execute { members.replace(records) }
         others.forEach(::applyValue)
-        eventLoop.execute { context.isFleetKnown = true }
+        eventLoop.execute(::onFleetKnown)
+    }
+
+    private fun onFleetKnown() {
+        if (context.isFleetKnown) return
+        context.isFleetKnown = true
+        context.retryAllowance.beginWithoutHistory()
     }
 
     override fun onChange(change: StoreChange) {
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RetryAllowanceTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RetryAllowanceTest.kt
@@ -57,6 +57,26 @@
         assertEquals(80.0, allowance.requestsPerSecond(service), absoluteTolerance = 1.0)
     }
 
+    /** Load pattern: all instances are restarted in turn, twice within a window, while every request fails. */
+    @Test
+    fun `processes that do not know what was spent before them stay within the slack together with those`() {
+        val timeSource = TestTimeSource()
+        val before = (1..4).sumOf { RetryAllowance(bounds, timeSource) { 4 }.spendAll() }
+        val after = (1..8).sumOf {
+            RetryAllowance(bounds, timeSource) { 4 }.apply(RetryAllowance::beginWithoutHistory).spendAll()
+        }
+        assertTrue(before + after <= bounds.slack, "spent $before and $after")
+    }
+
+    @Test
+    fun `a process that does not know what was spent before it may spend its whole part after one window`() {
+        val timeSource = TestTimeSource()
+        val allowance = RetryAllowance(bounds, timeSource) { 1 }.apply(RetryAllowance::beginWithoutHistory)
+        assertEquals(2, allowance.spendAll())
+        timeSource += bounds.window + 1.milliseconds
+        assertEquals(16, allowance.spendAll())
+    }
+
     /** Load pattern: every request for a service fails, and the router tries to send each again. */
     @Test
     fun `repeats exceed the bound in no window while everything fails`() {
