Endpoint connections: reading is resumed for the next request

A slow caller pauses the reading of its stream; if the response ended with what was read, nobody resumed it, and the next request on the kept connection had no answer until its time was over.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -117,6 +117,8 @@
         skippedResponses = 0
         skippedBytes = 0
         informationalResponses = 0
+        // The caller of the request before may have stopped reading as its response ended.
+        channel.config().isAutoRead = true
         channel.write(request)
         channel.writeAndFlush(DefaultLastHttpContent(body)).addListener { isWritten = it.isSuccess }
     }
