--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EventSplitter.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EventSplitter.kt
@@ -8,8 +8,9 @@
  * One complete event of a stream, including the blank line that ends it. The receiver releases [bytes].
  *
  * @property number the event's id; `null` if it has none or one that is not a number.
+ * @property containsHead whether the head of another response is in it, as in a broken-off event that was filled up.
  */
-public class StreamEvent(public val bytes: ByteBuf, public val number: Long?)
+public class StreamEvent(public val bytes: ByteBuf, public val number: Long?, public val containsHead: Boolean = false)
 
 /** Splits the body of an event stream into complete events and buffers an incomplete last one. */
 public class EventSplitter : AutoCloseable {
@@ -33,7 +34,8 @@
         while (true) {
             val length = lengthOfFirstEvent() ?: break
             val bytes = pending.readBytes(length)
-            events += StreamEvent(bytes, numberOf(bytes))
+            val text = bytes.toString(Charsets.UTF_8)
+            events += StreamEvent(bytes, numberOf(text), ResponseHeadCheck.containsHead(text))
         }
         pending.discardReadComponents()
         return events
@@ -67,7 +69,7 @@
         hasField = false
     }
 
-    private fun numberOf(event: ByteBuf): Long? = event.toString(Charsets.UTF_8).lineSequence()
+    private fun numberOf(event: String): Long? = event.lineSequence()
         .firstOrNull { it.startsWith(ID_FIELD) }
         ?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
 
