Evacuated failure domains and cold endpoints; the sender of a request apart from its exchange

Change: the domains are part of the endpoint directory, which every send passes twice; a cold endpoint has a limit that the instances divide like one that it names itself. An instance that has never been heard is not named to callers. Exchange and Attempt are split: sender, statements, silence and outcomes have files of their own.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/PlatformFeed.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/PlatformFeed.kt
@@ -6,6 +6,7 @@
 import io.quetzalfield.forwarding.endpoints.EndpointId
 import io.quetzalfield.forwarding.fleet.RolloutOrder
 import io.quetzalfield.forwarding.http.RoutingContext
+import io.quetzalfield.model.FailureDomainId
 import io.quetzalfield.store.CallTime
 
 /**
@@ -62,6 +63,19 @@
         }
     }
 
+    override fun onEvacuationsRead(domains: Set<FailureDomainId>) = eventLoop.execute {
+        context.areEvacuationsKnown = true
+        val before = context.endpoints.evacuated
+        if (domains == before) return@execute
+        context.endpoints.evacuate(domains, context::coldStart)
+        context.metrics.setEvacuatedDomains(domains.size)
+        DecisionLog.write(
+            "evacuation",
+            "begun" to (domains - before).map(FailureDomainId::value),
+            "ended" to (before - domains).map(FailureDomainId::value),
+        )
+    }
+
     private fun updateEndpoint(endpoint: EndpointDescription) {
         val change = context.endpoints.update(endpoint)
         val known = context.endpoints.find(endpoint.id) ?: return
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.CounterWithCallback
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.forwarding.endpoints.LimitChange
@@ -59,6 +60,9 @@
     private val firstEvent = Histogram.builder().name("quetzalfield_first_event_seconds")
         .help("Time from the whole request to the first event passed on").register(registry)
 
+    private val evacuatedDomains = Gauge.builder().name("quetzalfield_evacuated_failure_domains")
+        .help("Failure domains whose endpoints get nothing by order of the operator").register(registry)
+
     init {
         CounterWithCallback.builder().name("quetzalfield_log_lines_dropped_total")
             .help("Log lines that were dropped as standard output did not take them in time")
@@ -150,6 +154,11 @@
         cancelled.inc()
     }
 
+    /** Sets the number of failure domains that are evacuated. */
+    public fun setEvacuatedDomains(count: Int) {
+        evacuatedDomains.set(count.toDouble())
+    }
+
     /** Records the first event of a stream, [after] the arrival of its request. */
     public fun observeFirstEvent(after: Duration) {
         firstEvent.observe(after.toDouble(DurationUnit.SECONDS))
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterPlatform.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterPlatform.kt
@@ -7,6 +7,7 @@
 import io.quetzalfield.forwarding.fleet.RolloutReports
 import io.quetzalfield.forwarding.http.DirectoryCodec
 import io.quetzalfield.forwarding.http.HeaderCodec
+import io.quetzalfield.model.FailureDomainId
 import io.quetzalfield.store.CallTime
 import io.quetzalfield.store.FollowableStore
 
@@ -29,6 +30,9 @@
 
     /** Called with all roll-out [orders]. */
     public fun onRolloutsRead(orders: List<RolloutOrder>)
+
+    /** Called with all failure [domains] whose endpoints are to get nothing; before the first configuration. */
+    public fun onEvacuationsRead(domains: Set<FailureDomainId>)
 }
 
 /** The platform that the router runs on: its store, its HTTP codecs and its update feeds. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -39,6 +39,7 @@
 import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceId
+import io.quetzalfield.model.ServiceId
 import io.quetzalfield.store.DutyLease
 import io.quetzalfield.store.FollowSettings
 import io.quetzalfield.store.PlatformJson
@@ -73,7 +74,7 @@
     private val metrics = RouterMetrics()
     private val sessions = ActiveSessions(timeSource)
     private val sessionHolds = SessionHolds()
-    private val limits = EndpointLimits(timeSource) { members.sharers }
+    private val limits = EndpointLimits(timeSource, coldRate = ::coldRate) { members.sharers }
     private val connections = EndpointConnections(
         eventLoop,
         timeSource,
@@ -132,6 +133,7 @@
     /** Opens the listening sockets and starts to follow the platform. */
     public fun start() {
         context.isFleetKnown = false
+        context.areEvacuationsKnown = false
         DecisionLog.write("start", "incarnation" to incarnation, "address" to settings.callerAddress)
         val listeners = HttpListeners(group)
         listeners.listenForQueries(settings.readinessAddress, ::answerReadiness)
@@ -208,7 +210,9 @@
 
     private val isReady: Boolean
         get() = !isStopping && context.configuration.current != null && context.isFleetKnown &&
-            context.isConfigurationCurrent
+            context.areEvacuationsKnown && context.isConfigurationCurrent
+
+    private fun coldRate(service: ServiceId): Double? = context.coldRate(service)
 
     private fun answerReadiness(uri: String): PlainAnswer? = when {
         !platform.directory.isReadinessRequest(uri) -> null
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
@@ -6,7 +6,6 @@
 import io.quetzalfield.model.ModelId
 import kotlin.random.Random
 import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Work to be placed: a prompt for a model engine, or a call of a plain service, which has neither model nor prompt. */
@@ -60,7 +59,7 @@
 
     /** Work, in prompt tokens, that [endpoint] does before it starts on a new request. */
     private fun waitingTokens(endpoint: Endpoint, now: ComparableTimeMark): Long {
-        val coldTokens = if (endpoint.description.coldFor > Duration.ZERO) COLD_TOKENS else 0
+        val coldTokens = if (endpoint.isColdAt(now)) COLD_TOKENS else 0
         return coldTokens + endpoint.unreadTokensAt(now) + occupancyTokens(endpoint, now)
     }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/configuration/RoutingConfiguration.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/configuration/RoutingConfiguration.kt
@@ -61,8 +61,17 @@
  *
  * @property connectionLimit connections that one endpoint accepts from all callers together.
  * @property memoryTokens capacity of an endpoint's memory in tokens; `null` for a service without model engines.
+ * @property coldRequestsPerSecond requests per second that a cold endpoint bears from all callers together; `null` if
+ * cold endpoints are not limited.
+ * @property coldStart time for which an endpoint is cold after its start.
  */
-public data class ServiceDescription(val service: ServiceId, val connectionLimit: Int, val memoryTokens: Long? = null)
+public data class ServiceDescription(
+    val service: ServiceId,
+    val connectionLimit: Int,
+    val memoryTokens: Long? = null,
+    val coldRequestsPerSecond: Double? = null,
+    val coldStart: Duration = Duration.ZERO,
+)
 
 /** Limits on what a caller may send. */
 public data class CallerLimits(
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -20,7 +20,7 @@
  *
  * @property isLeaving whether it has announced that it will end.
  * @property start Unix milliseconds of its start, which distinguish two starts under one id.
- * @property coldFor remaining time for which it is slow after its start.
+ * @property coldFor remaining time for which it is cold, as its caches and workers are not warm yet.
  */
 public data class EndpointDescription(
     val id: EndpointId,
@@ -79,13 +79,33 @@
     /** Whether it is known to have ended, because another instance answered at its address. */
     public var hasEnded: Boolean = false
 
+    /** Whether the operator has ordered that its failure domain gets nothing. */
+    public var isEvacuated: Boolean = false
+        internal set
+
+    /** Time until which it is cold; `null` while it has not been. */
+    private var coldUntil: ComparableTimeMark? = null
+
     public val id: EndpointId get() = description.id
 
     /** Identifies this start of the endpoint, as an id may be reused. */
     public val startId: RunnerId get() = RunnerId("$id@${description.start}")
 
-    /** Whether it may get new work: it is registered, not leaving and not known to have ended. */
-    public val isEligible: Boolean get() = !hasEnded && !description.isLeaving && vanishedAt == null
+    /** Whether it may get new work: it is registered, not evacuated, not leaving and not known to have ended. */
+    public val isEligible: Boolean
+        get() = !hasEnded && !description.isLeaving && vanishedAt == null && !isEvacuated
+
+    /** Whether it is cold at [now]. */
+    public fun isColdAt(now: ComparableTimeMark): Boolean = coldUntil.let { it != null && it > now }
+
+    /**
+     * Records that the endpoint is cold for [duration] from [now] on. A shorter time than the one known does not count,
+     * as statements may arrive late.
+     */
+    public fun recordCold(duration: Duration, now: ComparableTimeMark) {
+        if (duration <= Duration.ZERO) return
+        coldUntil = maxOf(coldUntil ?: now, now + duration)
+    }
 
     /** Requests of all instances at the endpoint, as far as they have reported them to one another. */
     public fun runningAt(now: ComparableTimeMark): Int = inFlight + peers.runningAt(now)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectory.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectory.kt
@@ -1,5 +1,6 @@
 package io.quetzalfield.forwarding.endpoints
 
+import io.quetzalfield.model.FailureDomainId
 import io.quetzalfield.model.ServiceId
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
@@ -22,6 +23,10 @@
 ) {
     private val endpoints = LinkedHashMap<EndpointId, Endpoint>()
 
+    /** Failure domains that get no new work, by order of the operator. */
+    public var evacuated: Set<FailureDomainId> = emptySet()
+        private set
+
     /** All known endpoints, including those that are leaving. */
     public val all: Collection<Endpoint> get() = endpoints.values
 
@@ -32,7 +37,10 @@
     public fun update(description: EndpointDescription): EndpointChange {
         val known = endpoints[description.id]
         if (known == null) {
-            endpoints[description.id] = Endpoint(description)
+            val added = Endpoint(description)
+            endpoints[description.id] = added
+            added.isEvacuated = isInEvacuated(added)
+            added.recordCold(description.coldFor, timeSource.markNow())
             return if (description.isLeaving) EndpointChange.LEAVING else EndpointChange.ADDED
         }
         val before = known.description
@@ -42,6 +50,8 @@
         val isLeaving = description.isLeaving || (before.isLeaving && !isRestart)
         known.description = description.copy(isLeaving = isLeaving)
         known.vanishedAt = null
+        known.isEvacuated = isInEvacuated(known)
+        known.recordCold(description.coldFor, timeSource.markNow())
         return when {
             isRestart -> EndpointChange.RESTARTED.also { known.resetAfterRestart() }
             isLeaving && !before.isLeaving -> EndpointChange.LEAVING
@@ -50,6 +60,26 @@
         }
     }
 
+    /**
+     * Replaces the failure domains that get no new work. Endpoints of a domain that is taken back count as cold for the
+     * time that [coldStart] returns for their service, as their entries may not show it yet.
+     */
+    public fun evacuate(domains: Set<FailureDomainId>, coldStart: (ServiceId) -> Duration) {
+        val takenBack = evacuated - domains
+        evacuated = domains
+        val now = timeSource.markNow()
+        for (endpoint in endpoints.values) {
+            endpoint.isEvacuated = isInEvacuated(endpoint)
+            if (endpoint.failureDomain in takenBack) {
+                endpoint.recordCold(maxOf(coldStart(endpoint.description.service), endpoint.description.coldFor), now)
+            }
+        }
+    }
+
+    private fun isInEvacuated(endpoint: Endpoint) = endpoint.failureDomain in evacuated
+
+    private val Endpoint.failureDomain get() = FailureDomainId(description.failureDomain)
+
     /**
      * Records that [endpoint] has stated itself that it will end, and returns whether that was not known. It is final
      * for this start of the endpoint: an older entry, in which it still serves, may arrive after it.
@@ -85,11 +115,17 @@
     public fun lastResort(service: ServiceId): List<Endpoint> {
         val now = timeSource.markNow()
         return endpoints.values.filter {
-            it.description.service == service && !it.hasEnded && !it.description.isLeaving &&
+            it.description.service == service && !it.hasEnded && !it.description.isLeaving && !it.isEvacuated &&
                 it.isWithin(now, returnGrace)
         }
     }
 
+    /** Whether an endpoint of [service] gets no new work only because its failure domain is evacuated. */
+    public fun isEvacuated(service: ServiceId): Boolean = endpoints.values.any {
+        it.description.service == service && it.isEvacuated && !it.hasEnded && !it.description.isLeaving &&
+            it.vanishedAt == null
+    }
+
     private fun Endpoint.isWithin(now: ComparableTimeMark, limit: Duration): Boolean =
         vanishedAt?.let { now - it <= limit } ?: true
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
@@ -32,6 +32,9 @@
     private val listed = HashMap<String, ListedMember>()
     private val lastPresence = HashMap<Incarnation, Presence>()
 
+    /** When each listed instance was first seen in the list. */
+    private val firstListed = HashMap<Incarnation, ComparableTimeMark>()
+
     /** Instances that are no longer listed and did not announce that they leave, with the time of the change. */
     private val vanished = HashMap<InstanceId, ComparableTimeMark>()
     private var currentSharers: LimitSharers? = null
@@ -149,8 +152,12 @@
         return (chosen.map(MemberRecord::address) + listOfNotNull(own.address.takeIf { includesOwn })).distinct()
     }
 
-    private fun isSilent(incarnation: Incarnation): Boolean =
-        lastPresence[incarnation]?.let { it.at.elapsedNow() > presencePeriod * SILENT_PERIODS } ?: false
+    /** Whether an instance that can send messages has not been heard for several periods, or never. */
+    private fun isSilent(incarnation: Incarnation): Boolean {
+        if (incarnation !in peers && incarnation !in lastPresence) return false
+        val since = lastPresence[incarnation]?.at ?: firstListed[incarnation] ?: return false
+        return since.elapsedNow() > presencePeriod * SILENT_PERIODS
+    }
 
     /** The instance that collects the reports of this group: the first available one, or this instance. */
     internal val leader: Incarnation get() = leaderOf(ownGroup) ?: own.incarnation
@@ -188,7 +195,11 @@
                 record.incarnation to InetSocketAddress(address.host, address.port)
             }
             .toMap()
-        lastPresence.keys.retainAll(listed.values.map { it.record.incarnation }.toSet())
+        val present = listed.values.mapTo(HashSet()) { it.record.incarnation }
+        lastPresence.keys.retainAll(present)
+        firstListed.keys.retainAll(present)
+        val now = timeSource.markNow()
+        present.forEach { firstListed.getOrPut(it) { now } }
         val groups = RelayGroups(listed.values)
         ownGroup = groups.groupOf(own.incarnation).map(MemberRecord::incarnation)
         otherGroups = groups.otherGroups(own.incarnation).map { group -> group.map(MemberRecord::incarnation) }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -2,56 +2,14 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.util.concurrent.ScheduledFuture
 import io.quetzalfield.forwarding.choice.FirstAnswer
 import io.quetzalfield.forwarding.choice.Placement
-import io.quetzalfield.forwarding.choice.SilencePolicy
-import io.quetzalfield.forwarding.choice.SilenceVerdict
 import io.quetzalfield.forwarding.crashes.CrashCandidate
 import io.quetzalfield.forwarding.endpoints.Endpoint
-import io.quetzalfield.forwarding.endpoints.LimitChange
-import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.ModelId
 import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** How one attempt ended. */
-internal sealed interface AttemptOutcome {
-    /** The endpoint stated that it did not run the request. */
-    data object StatedNotRun : AttemptOutcome
-
-    /** The answer had a low confidence and was discarded; the request goes to the model [larger]. */
-    data class LowConfidence(val larger: ModelId) : AttemptOutcome
-
-    /** The endpoint exceeded the silence limit, and the request may be sent to another endpoint. */
-    data object Silent : AttemptOutcome
-
-    /** The answer was incomplete or invalid; [candidate] is set if the request may have made the endpoint end. */
-    data class Broken(val candidate: CrashCandidate?) : AttemptOutcome
-
-    /** The answer is complete. The receiver releases [body]. */
-    class Complete(val response: HttpResponse, val head: ResponseHead, val body: ByteBuf) : AttemptOutcome
-
-    /** All events of the stream have been forwarded. */
-    data class StreamComplete(val head: ResponseHead) : AttemptOutcome
-}
-
-/** Decides on further sends on behalf of an [Attempt] and receives its outcome. */
-internal interface AttemptOwner {
-    /**
-     * Selects a larger model to send the request to instead of forwarding [answer] of [asked], and counts that send
-     * against the retry budget. `null` if the answer is to be forwarded.
-     */
-    fun trySelectLargerModel(asked: ModelId, answer: FirstAnswer): ModelId?
-
-    /** Whether the request may go from a silent endpoint to another one; if so, the retry budget is charged. */
-    fun tryLeaveSilentEndpoint(): Boolean
-
-    /** Called when the attempt has ended and its connection has been returned to the pool or closed. */
-    fun onEnded(attempt: Attempt, outcome: AttemptOutcome)
-}
-
 /** One send of [request] to the endpoint of [placement]. Used on the event loop only. */
 internal class Attempt(
     private val request: AdmittedRequest,
@@ -69,9 +27,6 @@
     private val head = request.head
     private val sentAt = context.timeSource.markNow()
 
-    /** The start of the endpoint that the request is sent to; the endpoint may have restarted when it answers. */
-    private val endpointStart = endpoint.startId
-
     /** Whether the answer is to continue a stream that has begun. */
     private val isContinuation = progress.hasBegun
     private var isPromptUnread = true
@@ -90,8 +45,9 @@
 
     /** Bytes of the body that are buffered until it is complete. */
     private var bufferedBytes = 0
-    private var silenceTimer: ScheduledFuture<*>? = null
+    private val silence = SilenceWatch(context, route, endpoint, sentAt, ::onSilenceExceeded)
     private val speed = AnswerSpeedMonitor(request, endpoint, askedModel)
+    private val statements = StatementRecorder(context, request.caller, endpoint)
 
     /** Sends the request; [number] is the number of this send, from 1. */
     fun start(number: Int) {
@@ -125,7 +81,7 @@
         val message = context.headerCodec.encodeAttempt(request.caller.message, body.readableBytes(), attemptHead)
         connection.send(message, body.retainedDuplicate(), this)
         speed.start()
-        if (route.isRepeatable) watchSilence()
+        if (route.isRepeatable) silence.start()
     }
 
     /** Pauses or resumes reading of the response, to match the rate at which the caller reads. */
@@ -151,7 +107,7 @@
     private fun close() {
         isOver = true
         speed.close()
-        silenceTimer?.cancel(false)
+        silence.close()
         endpoint.inFlight--
         markPromptRead()
         context.onWorkChanged()
@@ -175,32 +131,6 @@
         context.onWorkChanged()
     }
 
-    /** Schedules a check of the endpoint's silence: a lost endpoint may leave its connection open. */
-    private fun watchSilence() {
-        val silence = SilencePolicy.silence(route, endpointSilence(), lastActivity.elapsedNow())
-        val wait = SilencePolicy.limit(route) - silence
-        silenceTimer = context.eventLoop.schedule(maxOf(wait, ShortestSilenceCheck)) {
-            if (isOver) return@schedule
-            when (SilencePolicy.verdict(route, endpointSilence(), lastActivity.elapsedNow())) {
-                SilenceVerdict.WAIT -> watchSilence()
-                SilenceVerdict.PROBE -> probe()
-                SilenceVerdict.LEAVE -> onSilenceExceeded()
-            }
-        }
-    }
-
-    private fun endpointSilence() = (endpoint.lastHeard ?: sentAt).elapsedNow()
-
-    /** Connects to the endpoint: one that accepts connections is assumed to be busy, any other one to be lost. */
-    private fun probe() {
-        context.connections.probe(endpoint.description.address) { failure ->
-            if (isOver) return@probe
-            val isReached = failure == null
-            if (isReached) endpoint.lastHeard = context.timeSource.markNow()
-            if (isReached) watchSilence() else onSilenceExceeded()
-        }
-    }
-
     private fun onSilenceExceeded() {
         request.caller.log("silent", "endpoint" to endpoint, "since" to lastActivity.elapsedNow())
         endpoint.recordFailure(context.timeSource.markNow())
@@ -221,14 +151,15 @@
             fail("response with several request ids or signatures")
             return true
         }
-        recordLeaving(decoded)
+        statements.recordLeaving(decoded)
+        statements.recordCold(decoded)
         if (decoded.requestId != null && decoded.requestId != head.id) {
             request.caller.log("skipped_response", "endpoint" to endpoint, "of" to decoded.requestId.value)
             return false
         }
         this.response = response
         responseHead = decoded
-        recordLimit(decoded)
+        statements.recordLimit(decoded, lastActivity)
         when {
             // It may repeat a response to an earlier request.
             decoded.requestId == null && connection.hasCarriedResponse -> fail("response without request id")
@@ -244,47 +175,6 @@
         return true
     }
 
-    /**
-     * Records that the endpoint states that it will end, in any response, also in one to another request. A misdirected
-     * request was answered by another endpoint.
-     */
-    private fun recordLeaving(decoded: ResponseHead) {
-        if (decoded.isMisdirected) return
-        val statement = decoded.statement
-        statement.malformedLeaving?.let(::recordMalformed)
-        if (!statement.isLeaving || endpoint.startId != endpointStart) return
-        if (!context.endpoints.markLeaving(endpoint)) return
-        context.metrics.countLeaving()
-        request.caller.log("endpoint_leaving", "endpoint" to endpoint, "start" to endpoint.description.start)
-        context.connections.retire(endpoint.description.address)
-        context.onLeaving(endpoint)
-    }
-
-    private fun recordMalformed(text: String) {
-        context.metrics.countMalformedStatement()
-        request.caller.log("statement_malformed", "endpoint" to endpoint, "text" to text)
-    }
-
-    /** Records the limit that the endpoint states. The end of a limit is accepted in a signed response only. */
-    private fun recordLimit(decoded: ResponseHead) {
-        if (decoded.isMisdirected) return
-        val statement = decoded.statement
-        if (statement.malformedLimit != null) return recordMalformed(statement.malformedLimit)
-        if (statement.requestsPerSecond == null && !decoded.isSigned) return
-        val before = endpoint.limit.requestsPerSecond
-        val change = context.limits.record(endpoint, statement.requestsPerSecond, lastActivity)
-        if (change == LimitChange.NONE) return
-        context.metrics.countLimitChange(change)
-        request.caller.log(
-            "endpoint_limit",
-            "endpoint" to endpoint,
-            "change" to change,
-            "per_second" to statement.requestsPerSecond,
-            "before" to before,
-        )
-        context.onWorkChanged()
-    }
-
     private fun isSuccess(decoded: ResponseHead) = decoded.status in SUCCESS_STATUSES
 
     private fun isTrusted(decoded: ResponseHead) = decoded.isSigned && decoded.requestId != null
@@ -407,7 +297,7 @@
      */
     private fun checkEndpointOutlives(decoded: ResponseHead) {
         if (!endpoint.isEligible) return complete(decoded)
-        silenceTimer?.cancel(false)
+        silence.close()
         context.connections.probe(endpoint.description.address) { failure ->
             when {
                 isOver -> Unit
@@ -483,6 +373,7 @@
 
     private fun recordActivity() {
         lastActivity = context.timeSource.markNow()
+        silence.lastActivity = lastActivity
         endpoint.lastHeard = lastActivity
     }
 
@@ -499,9 +390,6 @@
         /** Bytes of such responses of all requests together; well below the memory of a small instance. */
         const val TOTAL_BUFFERED_LIMIT = 32 * 1024 * 1024
 
-        /** Shortest time between two checks of a silent endpoint. */
-        val ShortestSilenceCheck = 50.milliseconds
-
         /** Time from the first event of an answer within which a request ends the endpoint, if it does. */
         val StartOfAnswer = 1.seconds
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/OwnAnswer.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/OwnAnswer.kt
@@ -9,6 +9,7 @@
     NO_ROUTE,
     UNKNOWN_KEY,
     NO_ENDPOINT,
+    ENDPOINTS_EVACUATED,
     ENDPOINTS_FULL,
     ENDPOINTS_LIMITED,
     ATTEMPTS_SPENT,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -62,6 +62,9 @@
     /** Whether what the instances share in the store has been read; without it, sessions may change versions. */
     public var isFleetKnown: Boolean = true
 
+    /** Whether the operator's orders to evacuate failure domains have been read. */
+    public var areEvacuationsKnown: Boolean = true
+
     /** Whether this instance is shutting down; answers then ask callers to close their connections. */
     public var isShuttingDown: Boolean = false
 
@@ -89,6 +92,14 @@
         return (picked ?: route.services.first()).service
     }
 
+    /** Requests per second that a cold endpoint of [service] gets from all instances; `null` for no limit. */
+    public fun coldRate(service: ServiceId): Double? =
+        configuration.current?.services?.get(service)?.coldRequestsPerSecond?.let { it * COLD_SHARE }
+
+    /** Time for which an endpoint of [service] is cold after its start. */
+    public fun coldStart(service: ServiceId): Duration =
+        configuration.current?.services?.get(service)?.coldStart ?: Duration.ZERO
+
     /** Maximum number of connections of this instance to one endpoint of [service]. */
     public fun connectionLimit(service: ServiceId): Int {
         val all = configuration.current?.services?.get(service)?.connectionLimit ?: DEFAULT_CONNECTION_LIMIT
@@ -115,6 +126,9 @@
         /** Used until the configuration sets a limit; small enough for any server. */
         const val DEFAULT_CONNECTION_LIMIT = 64
 
+        /** Fraction of the requests that a cold endpoint bears; the rest covers uneven times on the way to it. */
+        const val COLD_SHARE = 0.9
+
         /** Fraction of an endpoint's connections that all instances use together; the rest is for joining members. */
         const val CONNECTION_SHARE = 0.9
     }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectoryTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectoryTest.kt
@@ -1,5 +1,6 @@
 package io.quetzalfield.forwarding.endpoints
 
+import io.quetzalfield.model.FailureDomainId
 import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.ServiceId
 import io.quetzalfield.model.VersionId
@@ -7,6 +8,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 
 private val Service = ServiceId("advisor")
@@ -60,6 +62,53 @@
         }
     }
 
+    /** Load pattern: a failure domain is emptied while its endpoints run requests, and comes back cold. */
+    @Nested
+    inner class Evacuation {
+        private fun evacuate(vararg domains: String) =
+            directory.evacuate(domains.mapTo(HashSet(), ::FailureDomainId)) { 3.seconds }
+
+        @Test
+        fun `an endpoint of an evacuated domain gets no new work, also as a last resort`() {
+            directory.update(description("one"))
+            val endpoint = checkNotNull(directory.find(EndpointId("one")))
+            evacuate("a")
+            assertEquals(emptyList(), eligible())
+            assertEquals(false, directory.isUsable(endpoint))
+            directory.remove(EndpointId("one"))
+            assertEquals(emptyList(), lastResort())
+        }
+
+        @Test
+        fun `an endpoint that appears in an evacuated domain gets no work`() {
+            evacuate("a")
+            directory.update(description("one"))
+            directory.update(description("one", start = 2))
+            assertEquals(emptyList(), eligible())
+            assertEquals(true, directory.isEvacuated(Service))
+        }
+
+        @Test
+        fun `other domains go on`() {
+            directory.update(description("one"))
+            evacuate("b")
+            assertEquals(listOf("one"), eligible())
+            assertEquals(false, directory.isEvacuated(Service))
+        }
+
+        @Test
+        fun `the endpoints of a domain that is taken back are cold for the time of a start`() {
+            directory.update(description("one"))
+            evacuate("a")
+            evacuate()
+            val endpoint = checkNotNull(directory.find(EndpointId("one")))
+            assertEquals(listOf("one"), eligible())
+            directory.update(description("one"))
+            assertEquals(true, endpoint.isColdAt(timeSource.markNow() + 2_999.milliseconds))
+            assertEquals(false, endpoint.isColdAt(timeSource.markNow() + 3.seconds))
+        }
+    }
+
     @Nested
     inner class Vanishing {
         @Test
