Placement: reading a prompt token weighs more than waiting for one where capacity is scarce

Change: a weight, above 1 only where the settings say that callers compete for capacity. Tests: LeastWorkPlacementTest, ScarceCapacity.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -10,6 +10,7 @@
 import io.quetzalfield.forwarding.choice.ActiveSessions
 import io.quetzalfield.forwarding.choice.EndpointLimits
 import io.quetzalfield.forwarding.choice.HeldSessions
+import io.quetzalfield.forwarding.choice.LeastWorkPlacement
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.SessionHolds
 import io.quetzalfield.forwarding.choice.VersionSplit
@@ -92,6 +93,7 @@
         connections = connections,
         sessions = sessions,
         versions = VersionSplit(timeSource, sessions = sessions, holds = sessionHolds),
+        placement = LeastWorkPlacement(readWeight = if (settings.isCapacityScarce) SCARCE_READ_WEIGHT else 1),
         crashes = crashes,
         timeSource = timeSource,
         confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
@@ -296,6 +298,9 @@
         private const val ROLLOUT_DUTY = "version-rollouts"
         private const val SCHEDULER_THREADS = 3
 
+        /** Weight of a prompt token that is read where capacity is scarce. */
+        private const val SCARCE_READ_WEIGHT = 4
+
         /** Covers the time from the check of the confirmation to the arrival of the request at an endpoint. */
         private val RevocationMargin = 500.milliseconds
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterSettings.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterSettings.kt
@@ -17,6 +17,8 @@
  * @property revocationBound time after which a revoked API key is no longer accepted, even by an instance that has lost
  * the store; `null` for no such bound.
  * @property shutdownGrace time between the termination signal and the forced end of the process.
+ * @property isCapacityScarce whether callers at times ask for more than the endpoints can do, so that work that is done
+ * twice costs other callers their answers.
  * @property addressValidity time for which callers may cache an answer with addresses.
  */
 public data class RouterSettings(
@@ -30,6 +32,7 @@
     val shutdownGrace: Duration = DefaultShutdownGrace,
     val addressValidity: Duration = DefaultAddressValidity,
     val peerAddress: HostPort? = null,
+    val isCapacityScarce: Boolean = false,
     val retryBounds: RetryBounds = RetryBounds(ratio = 0.1, slack = 10.0, window = 10.seconds),
 ) {
     private companion object {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
@@ -32,15 +32,19 @@
  * selected by rendezvous hashing and the same at every instance, and is assumed to be in the home's memory. A request
  * goes to another endpoint when its home has more work waiting than the part costs to read. The work of all instances
  * counts, as far as they have reported it to one another.
+ *
+ * @param readWeight cost of reading a prompt token in relation to waiting for one. Above 1 where capacity is scarce: the
+ * token that is read again delays all later requests, while waiting at the home of a part delays only this one.
  */
-public class LeastWorkPlacement(private val random: Random = Random.Default) : EndpointPlacement {
+public class LeastWorkPlacement(private val random: Random = Random.Default, private val readWeight: Int = 1) :
+    EndpointPlacement {
     override fun choose(work: Work, candidates: List<Endpoint>, now: ComparableTimeMark): Placement? {
         val usable = candidates.filterNot { it.isAvoidedAt(now) }.ifEmpty { candidates }
         val home = homeOf(work, usable)
         val offset = random.nextInt(maxOf(usable.size, 1))
         return usable.indices.map { usable[(it + offset) % usable.size] }
             .map { endpoint -> Placement(endpoint, tokensToRead(work, endpoint, home)) }
-            .minByOrNull { it.tokensToRead + waitingTokens(it.endpoint, now) }
+            .minByOrNull { it.tokensToRead.toLong() * readWeight + waitingTokens(it.endpoint, now) }
     }
 
     private fun Endpoint.isAvoidedAt(now: ComparableTimeMark) = avoidedUntil.let { it != null && it > now }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/LeastWorkPlacementTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/LeastWorkPlacementTest.kt
@@ -63,6 +63,27 @@
         }
     }
 
+    /** Load pattern: callers ask for more than all endpoints can read, and each part that is read again adds to it. */
+    @Nested
+    inner class ScarceCapacity {
+        private fun placeScarce(work: Work) =
+            LeastWorkPlacement(Random(1), readWeight = 4).choose(work, endpoints, timeSource.markNow())?.endpoint
+
+        @Test
+        fun `a request waits at its home rather than have the part read again`() {
+            val home = checkNotNull(place(work(shared = 3, own = 1)))
+            home.unreadTokens = SHARED_TOKENS * 2L
+            assertEquals(home, placeScarce(work(shared = 3, own = 2)))
+        }
+
+        @Test
+        fun `it goes elsewhere when the wait exceeds the cost of reading for all`() {
+            val home = checkNotNull(place(work(shared = 3, own = 1)))
+            home.unreadTokens = SHARED_TOKENS * 4L + 1
+            assertNotEquals(home, placeScarce(work(shared = 3, own = 2)))
+        }
+    }
+
     /** Load pattern: several instances choose at the same time, before a report of the endpoints shows it. */
     @Nested
     inner class WorkOfOtherInstances {
