Larger models under load: how busy endpoints are with prompts counts, where capacity is scarce

Change: the share of endpoints that have prompts to read, smoothed, counts as occupancy where the settings say that callers compete for capacity.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -8,9 +8,11 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.quetzalfield.decision.rendezvousOrder
 import io.quetzalfield.forwarding.choice.ActiveSessions
+import io.quetzalfield.forwarding.choice.ConfidenceCascade
 import io.quetzalfield.forwarding.choice.EndpointLimits
 import io.quetzalfield.forwarding.choice.HeldSessions
 import io.quetzalfield.forwarding.choice.LeastWorkPlacement
+import io.quetzalfield.forwarding.choice.ReadingLoad
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.SessionHolds
 import io.quetzalfield.forwarding.choice.VersionSplit
@@ -94,6 +96,8 @@
         sessions = sessions,
         versions = VersionSplit(timeSource, sessions = sessions, holds = sessionHolds),
         placement = LeastWorkPlacement(readWeight = if (settings.isCapacityScarce) SCARCE_READ_WEIGHT else 1),
+        cascade = if (settings.isCapacityScarce) ScarceCascade else ConfidenceCascade(),
+        readingLoad = if (settings.isCapacityScarce) ({ ReadingLoad(timeSource) }) else null,
         crashes = crashes,
         timeSource = timeSource,
         confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
@@ -298,6 +302,9 @@
         private const val ROLLOUT_DUTY = "version-rollouts"
         private const val SCHEDULER_THREADS = 3
 
+        /** Asks no larger model while the endpoints are fully busy. */
+        private val ScarceCascade = ConfidenceCascade(busyThreshold = 0, fullOccupancy = 1.0)
+
         /** Weight of a prompt token that is read where capacity is scarce. */
         private const val SCARCE_READ_WEIGHT = 4
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
@@ -33,8 +33,8 @@
  * goes to another endpoint when its home has more work waiting than the part costs to read. The work of all instances
  * counts, as far as they have reported it to one another.
  *
- * @param readWeight cost of reading a prompt token in relation to waiting for one. Above 1 where capacity is scarce: the
- * token that is read again delays all later requests, while waiting at the home of a part delays only this one.
+ * @param readWeight cost of reading a prompt token in relation to waiting for one. Above 1 where capacity is scarce:
+ * a token that is read again delays all later requests, while waiting at the home of a part delays only this one.
  */
 public class LeastWorkPlacement(private val random: Random = Random.Default, private val readWeight: Int = 1) :
     EndpointPlacement {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -10,6 +10,7 @@
 import io.quetzalfield.forwarding.choice.LeastWorkPlacement
 import io.quetzalfield.forwarding.choice.LimitSharers
 import io.quetzalfield.forwarding.choice.ModelCascade
+import io.quetzalfield.forwarding.choice.ReadingLoad
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.ReturnSchedule
 import io.quetzalfield.forwarding.choice.VersionSplit
@@ -51,8 +52,12 @@
     public val confirmationBound: Duration? = null,
     public val memberCount: () -> Int = { 1 },
     public val limits: EndpointLimits = EndpointLimits(timeSource) { LimitSharers(own = null, all = emptySet()) },
+    /** Creates the measure of how busy the endpoints of a service are with prompts; `null` to go by their slots. */
+    private val readingLoad: (() -> ReadingLoad)? = null,
     public val returns: ReturnSchedule = ReturnSchedule(timeSource, random),
 ) {
+    private val readingLoads = HashMap<ServiceId, ReadingLoad>()
+
     /** Called whenever the work of this instance at an endpoint has changed. */
     public var onWorkChanged: () -> Unit = {}
 
@@ -119,7 +124,10 @@
             val reported = endpoint.load?.let { it.running + it.waiting } ?: 0
             maxOf(endpoint.runningAt(now), reported)
         }
-        return inUse.toDouble() / capacity
+        val inSlots = inUse.toDouble() / capacity
+        val load = readingLoad?.let { readingLoads.getOrPut(service, it) } ?: return inSlots
+        load.record(reading = open.count { it.unreadTokensAt(now) > 0 }, total = open.size)
+        return maxOf(inSlots, load.occupancy)
     }
 
     private companion object {
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembersTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembersTest.kt
@@ -56,6 +56,18 @@
         assertEquals(listOf(1, 2, 3, 4), given())
     }
 
+    /** Load pattern: instances ended while the store was away, and their records outlive them. */
+    @Test
+    fun `an instance that has never been heard is given to callers for a few seconds only`() {
+        val reachable = records.map { it.copy(peerAddress = it.address.replace(":80", ":90")) }
+        members.replace(reachable.map(::valueOf))
+        hear(2, 3)
+        assertEquals(listOf(1, 2, 3, 4), given())
+        time += 4.seconds
+        hear(2, 3)
+        assertEquals(listOf(1, 2, 3), given())
+    }
+
     @Test
     fun `an instance that hears no other gives all that are listed, as it may be cut off itself`() {
         hear(2, 3, 4)
