Client accounts that send many times their usual are less urgent while endpoints are busy

Cause: an account at seven and a half times its usual went before the requests of all others of the same kind.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -60,6 +60,8 @@
     private val firstEvent = Histogram.builder().name("quetzalfield_first_event_seconds")
         .help("Time from the whole request to the first event passed on").register(registry)
 
+    private val demoted = Counter.builder().name("quetzalfield_demoted_requests_total")
+        .help("Requests that were less urgent as their client account sent many times its usual").register(registry)
     private val evacuatedDomains = Gauge.builder().name("quetzalfield_evacuated_failure_domains")
         .help("Failure domains whose endpoints get nothing by order of the operator").register(registry)
 
@@ -154,6 +156,11 @@
         cancelled.inc()
     }
 
+    /** Counts a request that is less urgent because its account sends many times its usual. */
+    public fun countDemoted() {
+        demoted.inc()
+    }
+
     /** Sets the number of failure domains that are evacuated. */
     public fun setEvacuatedDomains(count: Int) {
         evacuatedDomains.set(count.toDouble())
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -7,6 +7,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.quetzalfield.decision.rendezvousOrder
+import io.quetzalfield.forwarding.choice.AccountDemand
 import io.quetzalfield.forwarding.choice.ActiveSessions
 import io.quetzalfield.forwarding.choice.ConfidenceCascade
 import io.quetzalfield.forwarding.choice.EndpointLimits
@@ -97,6 +98,7 @@
         versions = VersionSplit(timeSource, sessions = sessions, holds = sessionHolds),
         placement = LeastWorkPlacement(readWeight = if (settings.isCapacityScarce) SCARCE_READ_WEIGHT else 1),
         cascade = if (settings.isCapacityScarce) ScarceCascade else ConfidenceCascade(),
+        accountDemand = if (settings.isCapacityScarce) AccountDemand(timeSource) else null,
         readingLoad = if (settings.isCapacityScarce) ({ ReadingLoad(timeSource) }) else null,
         crashes = crashes,
         timeSource = timeSource,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/AdmittedRequest.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/AdmittedRequest.kt
@@ -11,6 +11,7 @@
 /**
  * A request that the configuration allows, with the properties that stay constant until its final answer.
  *
+ * @property urgency urgency among the requests at an endpoint; 0 is the most urgent.
  * @property arrivedAt when the request was completely received.
  * @property deadline when the caller's deadline or the route's timeout expires, whichever is first.
  */
@@ -20,6 +21,7 @@
     val route: Route,
     val service: ServiceId,
     val account: ClientAccount?,
+    val urgency: Int,
     val arrivedAt: ComparableTimeMark,
     val deadline: ComparableTimeMark,
 ) {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -61,7 +61,7 @@
             remaining = request.remaining,
             model = askedModel.takeIf { head.isModelOpen },
             resumeAfter = progress.lastEvent,
-            urgency = (request.account?.priority ?: route.priority).coerceIn(0, LOWEST_URGENCY),
+            urgency = request.urgency,
         )
         request.caller.log(
             "send",
@@ -378,8 +378,6 @@
     }
 
     private companion object {
-        const val LOWEST_URGENCY = 9
-
         /** Characters; enough for the parts of the usual prompts. */
         const val LOGGED_PARTS_LENGTH = 200
         val SUCCESS_STATUSES = 200..299
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -81,12 +81,15 @@
         }
         if (head.id == null) return deny(STATUS_BAD_REQUEST, AnswerReason.BAD_REQUEST)
         val timeout = minOf(head.timeout ?: route.timeout, route.timeout)
+        val service = context.pickService(route)
+        val payer = account.takeUnless { route.isPublic }
         val request = AdmittedRequest(
             context = context,
             caller = caller,
             route = route,
-            service = context.pickService(route),
-            account = account.takeUnless { route.isPublic },
+            service = service,
+            account = payer,
+            urgency = context.urgencyOf(payer, route, service),
             arrivedAt = arrivedAt,
             deadline = arrivedAt + timeout,
         )
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop
 import io.quetzalfield.forwarding.RouterMetrics
+import io.quetzalfield.forwarding.choice.AccountDemand
 import io.quetzalfield.forwarding.choice.ActiveSessions
 import io.quetzalfield.forwarding.choice.AnswerPace
 import io.quetzalfield.forwarding.choice.ConfidenceCascade
@@ -14,6 +15,7 @@
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.ReturnSchedule
 import io.quetzalfield.forwarding.choice.VersionSplit
+import io.quetzalfield.forwarding.configuration.ClientAccount
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
 import io.quetzalfield.forwarding.configuration.Route
 import io.quetzalfield.forwarding.crashes.CrashGuard
@@ -54,6 +56,8 @@
     public val limits: EndpointLimits = EndpointLimits(timeSource) { LimitSharers(own = null, all = emptySet()) },
     /** Creates the measure of how busy the endpoints of a service are with prompts; `null` to go by their slots. */
     private val readingLoad: (() -> ReadingLoad)? = null,
+    /** Finds accounts that send many times their usual; `null` if that does not matter. */
+    private val accountDemand: AccountDemand? = null,
     public val returns: ReturnSchedule = ReturnSchedule(timeSource, random),
 ) {
     private val readingLoads = HashMap<ServiceId, ReadingLoad>()
@@ -97,6 +101,18 @@
         return (picked ?: route.services.first()).service
     }
 
+    /**
+     * The urgency of a request of [account] for [service], 0 for the most urgent: by the account's priority or else by
+     * that of its [route]. An account that sends many times its usual gets what others leave while endpoints are busy.
+     */
+    public fun urgencyOf(account: ClientAccount?, route: Route, service: ServiceId): Int {
+        val usual = (account?.priority ?: route.priority).coerceIn(0, LOWEST_URGENCY)
+        val isAboveUsual = account != null && accountDemand?.record(account.account) == true
+        if (!isAboveUsual || (readingLoads[service]?.occupancy ?: 0.0) <= 0.0) return usual
+        metrics.countDemoted()
+        return (usual + DEMOTION).coerceAtMost(LOWEST_URGENCY)
+    }
+
     /** Requests per second that a cold endpoint of [service] gets from all instances; `null` for no limit. */
     public fun coldRate(service: ServiceId): Double? =
         configuration.current?.services?.get(service)?.coldRequestsPerSecond?.let { it * COLD_SHARE }
@@ -134,6 +150,11 @@
         /** Used until the configuration sets a limit; small enough for any server. */
         const val DEFAULT_CONNECTION_LIMIT = 64
 
+        const val LOWEST_URGENCY = 9
+
+        /** Below the priorities of the usual routes. */
+        const val DEMOTION = 4
+
         /** Fraction of the requests that a cold endpoint bears; the rest covers uneven times on the way to it. */
         const val COLD_SHARE = 0.9
 
--- /dev/null
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/AccountDemandTest.kt
@@ -0,0 +1,63 @@
+package io.quetzalfield.forwarding.choice
+
+import io.quetzalfield.model.ClientAccountId
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/** Load pattern: 24 accounts, two of them large, at one of 26 instances. */
+class AccountDemandTest {
+    private val timeSource = TestTimeSource()
+    private val demand = AccountDemand(timeSource)
+    private val accounts = List(24) { ClientAccountId("account-$it") }
+    private val large = accounts.take(2)
+
+    /** Counts the requests of each account, and those that are found to be above the usual. */
+    private inner class Traffic(private val random: Random) {
+        val all = HashMap<ClientAccountId, Int>()
+        val above = HashMap<ClientAccountId, Int>()
+
+        fun run(duration: Duration, factor: (ClientAccountId) -> Double = { 1.0 }) {
+            val end = timeSource.markNow() + duration
+            while (end.hasNotPassedNow()) {
+                timeSource += 10.milliseconds
+                for (account in accounts) {
+                    val perSecond = (if (account in large) 2.0 else 0.33) * factor(account)
+                    if (random.nextDouble() >= perSecond / 100) continue
+                    all.merge(account, 1, Int::plus)
+                    if (demand.record(account)) above.merge(account, 1, Int::plus)
+                }
+            }
+        }
+
+        fun share(of: Collection<ClientAccountId>) =
+            of.sumOf { above[it] ?: 0 }.toDouble() / of.sumOf { all[it] ?: 0 }.coerceAtLeast(1)
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = [0, 1, 23])
+    fun `most requests of an account that sends seven and a half times its usual are found, and few of the others`(
+        index: Int,
+    ) {
+        Traffic(Random(index)).run(20.seconds)
+        val burst = Traffic(Random(index + 100))
+        burst.run(6.seconds) { if (it == accounts[index]) 7.5 else 1.0 }
+        assertTrue(burst.share(listOf(accounts[index])) > 0.5, "found ${burst.share(listOf(accounts[index]))}")
+        assertTrue(burst.share(accounts - accounts[index]) < 0.05)
+    }
+
+    @Test
+    fun `large accounts are not affected, nor a burst of all`() {
+        val traffic = Traffic(Random(1))
+        traffic.run(20.seconds)
+        traffic.run(4.seconds) { 2.2 }
+        assertTrue(traffic.share(accounts) < 0.05, "${traffic.share(accounts)} of all requests")
+        assertTrue(traffic.share(large) < 0.05)
+    }
+}
