--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -5,6 +5,7 @@
 import io.quetzalfield.model.RunnerId
 import io.quetzalfield.model.ServiceId
 import io.quetzalfield.model.VersionId
+import kotlin.math.pow
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -35,8 +36,12 @@
     val models: Set<ModelId> = emptySet(),
 )
 
-/** Load reported by an endpoint. */
-public data class EndpointLoad(val running: Int, val waiting: Int, val slots: Int)
+/**
+ * Load reported by an endpoint.
+ *
+ * @property timeFactor time that work takes there at this moment, in relation to the usual; `null` if not stated.
+ */
+public data class EndpointLoad(val running: Int, val waiting: Int, val slots: Int, val timeFactor: Double? = null)
 
 /** An endpoint as this instance knows it. Used on the event loop only. */
 public class Endpoint(public var description: EndpointDescription) {
@@ -55,6 +60,19 @@
     /** Time at which [load] was reported. */
     public var loadReportedAt: ComparableTimeMark? = null
 
+    /** Whether its newest load states how long work takes there. */
+    public val statesTimeFactor: Boolean get() = load?.timeFactor != null
+
+    /**
+     * Time that work takes at the endpoint at [now], in relation to the usual. The statement loses half of its weight
+     * with each [TimeFactorHalfLife], as it changes many times per second.
+     */
+    public fun timeFactorAt(now: ComparableTimeMark): Double {
+        val stated = load?.timeFactor ?: return 1.0
+        val age = loadReportedAt?.let { now - it } ?: return 1.0
+        return stated.pow(HALF.pow(age / TimeFactorHalfLife))
+    }
+
     /** Time at which the last bytes arrived from it. */
     public var lastHeard: ComparableTimeMark? = null
 
@@ -146,6 +164,10 @@
         /** About the time until the entry of a crashed process shows its end, or the process is restarted. */
         val FailurePause = 500.milliseconds
         const val MAXIMUM_DOUBLINGS = 3
+        const val HALF = 0.5
+
+        /** A stated time factor is worth little after a second. */
+        val TimeFactorHalfLife = 300.milliseconds
 
         /** Time in which a full endpoint completes one or two requests. */
         val FullPause = 150.milliseconds
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointTest.kt
@@ -1,8 +1,11 @@
 package io.quetzalfield.forwarding.endpoints
 
+import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
@@ -43,4 +46,29 @@
         endpoint.resetAfterRestart()
         assertNull(endpoint.avoidedUntil)
     }
+
+    @Nested
+    inner class TimeFactor {
+        private fun state(timeFactor: Double?) {
+            endpoint.load = EndpointLoad(running = 1, waiting = 0, slots = 4, timeFactor)
+            endpoint.loadReportedAt = timeSource.markNow()
+        }
+
+        @Test
+        fun `an endpoint that states none counts as usual`() {
+            state(timeFactor = null)
+            assertFalse(endpoint.statesTimeFactor)
+            assertEquals(1.0, endpoint.timeFactorAt(timeSource.markNow()))
+        }
+
+        @Test
+        fun `a stated one is worth little after a second`() {
+            state(timeFactor = 4.0)
+            val start = timeSource.markNow()
+            assertTrue(endpoint.statesTimeFactor)
+            assertEquals(4.0, endpoint.timeFactorAt(start))
+            assertEquals(2.0, endpoint.timeFactorAt(start + 300.milliseconds), absoluteTolerance = 0.01)
+            assertTrue(endpoint.timeFactorAt(start + 1.seconds) < 1.2)
+        }
+    }
 }
