Placement by the expected start, where endpoints state how long work takes there

Cause: the placement took all endpoints as equally fast, and all instances with late knowledge chose the same one. Change: AnswerTimeEstimates learns what a unit of work takes, EndpointSpeed how slow an endpoint is; PartHomes orders the homes of shared parts by speed and adds copies where the first ones have too much work; ExpectedStartPlacement takes the best of these and two endpoints drawn at random, and draws endpoints of plain services by expected time. Where no endpoint states a time factor, LeastWorkPlacement chooses as before.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/AnswerTimes.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/AnswerTimes.kt
@@ -8,8 +8,8 @@
 public interface AnswerTimes {
     /**
      * Returns the time from [now] until the answer to [work] is expected to start at [endpoint], if it is sent there
-     * now: its first event, or the whole answer of a plain service. Infinite if nothing is known from which to expect
-     * one.
+     * then: its first event, or the whole answer of a plain service. Zero while too few answers are known to expect
+     * one, as only requests that are sent show it.
      */
     public fun expectedStart(work: Work, endpoint: Endpoint, now: ComparableTimeMark): Duration
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/EndpointPlacement.kt
@@ -6,7 +6,6 @@
 import io.quetzalfield.model.ModelId
 import kotlin.random.Random
 import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration.Companion.milliseconds
 
 /** Work to be placed: a prompt for a model engine, or a call of a plain service, which has neither model nor prompt. */
 public data class Work(val model: ModelId? = null, val prompt: List<PromptPart> = emptyList())
@@ -15,8 +14,13 @@
  * The endpoint chosen for an attempt.
  *
  * @property tokensToRead prompt tokens that the endpoint is expected to read before the answer starts.
+ * @property expected when the answer is expected to start; `null` where that is not estimated.
  */
-public data class Placement(val endpoint: Endpoint, val tokensToRead: Int)
+public data class Placement(val endpoint: Endpoint, val tokensToRead: Int, val expected: StartExpectation? = null)
+
+/** Returns the endpoints that are not avoided at [now], or all if all are. */
+internal fun List<Endpoint>.withoutAvoided(now: ComparableTimeMark): List<Endpoint> =
+    filterNot { endpoint -> endpoint.avoidedUntil.let { it != null && it > now } }.ifEmpty { this }
 
 /** Chooses the endpoint for one attempt. */
 public interface EndpointPlacement {
@@ -33,22 +37,20 @@
  * goes to another endpoint when its home has more work waiting than the part costs to read. The work of all instances
  * counts, as far as they have reported it to one another.
  *
- * @param readWeight cost of reading a prompt token in relation to waiting for one. Above 1 where capacity is scarce: the
- * token that is read again delays all later requests, while waiting at the home of a part delays only this one.
+ * @param readWeight cost of reading a prompt token in relation to waiting for one. Above 1 where capacity is scarce:
+ * the token that is read again delays all later requests, while waiting at the home of a part delays only this one.
  */
 public class LeastWorkPlacement(private val random: Random = Random.Default, private val readWeight: Int = 1) :
     EndpointPlacement {
     override fun choose(work: Work, candidates: List<Endpoint>, now: ComparableTimeMark): Placement? {
-        val usable = candidates.filterNot { it.isAvoidedAt(now) }.ifEmpty { candidates }
+        val usable = candidates.withoutAvoided(now)
         val home = homeOf(work, usable)
         val offset = random.nextInt(maxOf(usable.size, 1))
         return usable.indices.map { usable[(it + offset) % usable.size] }
             .map { endpoint -> Placement(endpoint, tokensToRead(work, endpoint, home)) }
-            .minByOrNull { it.tokensToRead.toLong() * readWeight + waitingTokens(it.endpoint, now) }
+            .minByOrNull { it.tokensToRead.toLong() * readWeight + WaitingWork.tokensAt(it.endpoint, now) }
     }
 
-    private fun Endpoint.isAvoidedAt(now: ComparableTimeMark) = avoidedUntil.let { it != null && it > now }
-
     private fun homeOf(work: Work, usable: List<Endpoint>): Endpoint? {
         val shared = work.prompt.dropLast(1).lastOrNull() ?: return null
         val key = "${work.model?.value}/${shared.id}"
@@ -60,33 +62,4 @@
         val unread = endpoint.cachedParts.unreadTokens(model, work.prompt)
         return if (endpoint === home) minOf(unread, work.prompt.last().tokens) else unread
     }
-
-    /** Work, in prompt tokens, that [endpoint] does before it starts on a new request. */
-    private fun waitingTokens(endpoint: Endpoint, now: ComparableTimeMark): Long {
-        val coldTokens = if (endpoint.isColdAt(now)) COLD_TOKENS else 0
-        return coldTokens + endpoint.unreadTokensAt(now) + occupancyTokens(endpoint, now)
-    }
-
-    private fun occupancyTokens(endpoint: Endpoint, now: ComparableTimeMark): Long {
-        val reported = endpoint.load.takeIf {
-            endpoint.loadReportedAt.let { at -> at != null && now - at < LoadValidity }
-        }
-        val running = maxOf(endpoint.runningAt(now), reported?.running ?: 0)
-        val waiting = (reported?.waiting ?: 0) + (running - endpoint.description.capacity).coerceAtLeast(0)
-        return running * RUNNING_TOKENS + waiting * WAITING_TOKENS
-    }
-
-    private companion object {
-        /** Prompt tokens that are read in the time by which one running request delays the others. */
-        const val RUNNING_TOKENS = 300L
-
-        /** Prompt tokens assumed for a waiting request: about the mean prompt after its shared parts. */
-        const val WAITING_TOKENS = 2_000L
-
-        /** Penalty, in prompt tokens, for an endpoint that is still slow after its start. */
-        const val COLD_TOKENS = 4_000L
-
-        /** Time for which a reported load is used: about one answer of the usual length. */
-        val LoadValidity = 2_000.milliseconds
-    }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -54,6 +54,9 @@
     /** Load of other instances at the endpoint. */
     public val peers: PeerLoads = PeerLoads()
 
+    /** Its speed in relation to the other endpoints of its service. */
+    public val speed: EndpointSpeed = EndpointSpeed()
+
     /** The newest load that it reported; [loadReportedAt] is its time. */
     public var load: EndpointLoad? = null
 
@@ -64,8 +67,8 @@
     public val statesTimeFactor: Boolean get() = load?.timeFactor != null
 
     /**
-     * Time that work takes at the endpoint at [now], in relation to the usual. The statement loses half of its weight
-     * with each [TimeFactorHalfLife], as it changes many times per second.
+     * Time that work takes at the endpoint at [now], in relation to the usual; 1 if it does not state that. The
+     * statement loses half of its weight with each [TimeFactorHalfLife], as it changes many times per second.
      */
     public fun timeFactorAt(now: ComparableTimeMark): Double {
         val stated = load?.timeFactor ?: return 1.0
@@ -151,6 +154,7 @@
     public fun resetAfterRestart() {
         cachedParts.clear()
         peers.clear()
+        speed.clear()
         limit.clear()
         load = null
         avoidedUntil = null
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectoryTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectoryTest.kt
@@ -19,13 +19,14 @@
     isLeaving: Boolean = false,
     start: Long = 1,
     version: String = "v1",
+    capacity: Int = 4,
 ) = EndpointDescription(
     id = EndpointId(id),
     service = Service,
     address = HostPort("127.0.0.1", port),
     failureDomain = "a",
     version = VersionId(version),
-    capacity = 4,
+    capacity = capacity,
     isLeaving = isLeaving,
     start = start,
 )
