Speeds of endpoints: instances tell one another what they have learnt

Cause: with 76 instances each of them sees an answer of an endpoint only every few seconds, too few to learn its speed. Change: every 3 s, by the way of the reports of work, with a new field at the end of the datagram. The test that a field of a later build is skipped now uses the next number, as this field has taken its own, like when the leaving endpoints were added; bytes of the new field are tested beside it.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -38,7 +38,7 @@
  * group; the leaders send the sums of their groups to one another, and the sum of all to their groups. The traffic of
  * an instance then grows with its group and with the number of groups, and not with the number of instances.
  *
- * The limits that endpoints have named take the same ways as the reports of work.
+ * The limits that endpoints have named, and what was learnt of their speeds, take the same ways as the reports of work.
  *
  * Sessions that are held on a version are reported to all instances immediately, and again with each presence message.
  * The same holds for what an instance has found about requests that make endpoints end.
@@ -59,6 +59,7 @@
     private val fleetReport = WorkReport(::fleetWork)
     private val limitReports = LimitReports()
     private val leavingReports = LeavingReports(endpoints)
+    private val speedReports = SpeedReports(endpoints)
     private val lastNumbers = HashMap<Incarnation, Long>()
     private var channel: Channel? = null
     private var isFlushDue = false
@@ -78,6 +79,7 @@
         holds.onHeld = { send(composer.held(listOf(it)), members.peers.keys) }
         crashes?.onNews = ::scheduleCrashReport
         eventLoop.repeatEvery(RefreshPeriod, ::refresh)
+        eventLoop.repeatEvery(SpeedPeriod, ::sendSpeeds)
         schedulePresence()
     }
 
@@ -156,6 +158,24 @@
         send(composer.limits(reports), receivers)
     }
 
+    /** Sends what is known of the speeds of endpoints the same way as the reports of work. */
+    private fun sendSpeeds() {
+        val now = timeSource.markNow()
+        val leader = members.leader
+        val ownSpeeds = { speedReports.of { it.speed.learnt(now) } }
+        when {
+            isSmallFleet -> send(composer.speeds(ownSpeeds()), members.peers.keys)
+
+            leader != own -> send(composer.speeds(ownSpeeds()), listOf(leader))
+
+            else -> {
+                val group = members.groupPeers
+                send(composer.speeds(speedReports.of { it.speed.learnt(now, group::contains) }), members.otherLeaders)
+                send(composer.speeds(speedReports.of { endpoint -> endpoint.speed.learnt(now) { true } }), group)
+            }
+        }
+    }
+
     private fun groupWork(endpoint: Endpoint): EndpointWork {
         val now = timeSource.markNow()
         val peers = members.groupPeers
@@ -192,6 +212,7 @@
         message.held.forEach(holds::addRemote)
         message.crashes?.let { crashes?.learn(it, message.sender) }
         message.leaving.forEach { takeLeaving(message.sender, it) }
+        message.speeds.forEach { speedReports.take(message.sender, it, now) }
         takeWork(message, now)
         val hasNewLimit = message.limits.count { takeLimit(message.sender, it, now) } > 0
         val hasNewWork = message.work.isNotEmpty() && message.scope != WorkScope.FLEET
@@ -262,6 +283,9 @@
         /** Makes up for lost datagrams within about one answer of the usual length. */
         val RefreshPeriod = 1.seconds
 
+        /** Short beside the time for which what was learnt of a speed is of use. */
+        val SpeedPeriod = 3.seconds
+
         /** Largest number of instances with which each reports directly to every other. */
         const val LARGEST_SMALL_FLEET = 8
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
@@ -42,6 +42,7 @@
  * @property limits what [sender] knows of the limits that endpoints have named.
  * @property crashes what [sender] has found about requests that make endpoints end.
  * @property leaving endpoints that have stated to [sender] that they will end.
+ * @property speeds what [sender] knows of the speeds of endpoints.
  */
 @Serializable
 internal data class WorkMessage(
@@ -54,6 +55,7 @@
     val limits: List<LimitReport> = emptyList(),
     val crashes: CrashNews? = null,
     val leaving: List<LeavingReport> = emptyList(),
+    val speeds: List<SpeedReport> = emptyList(),
 ) {
     fun encode(): ByteArray = PeerFormat.encode(serializer(), this)
 
@@ -86,6 +88,10 @@
     fun limits(limits: List<LimitReport>): List<WorkMessage> = limits.chunked(ENDPOINTS_PER_MESSAGE)
         .map { WorkMessage(sender, ++number, isLeaving = isLeaving, limits = it) }
 
+    /** Returns messages that report [speeds]. */
+    fun speeds(speeds: List<SpeedReport>): List<WorkMessage> = speeds.chunked(ENDPOINTS_PER_MESSAGE)
+        .map { WorkMessage(sender, ++number, isLeaving = isLeaving, speeds = it) }
+
     /** Returns messages that report [leaving]. */
     fun leaving(leaving: List<LeavingReport>): List<WorkMessage> = leaving.chunked(ENDPOINTS_PER_MESSAGE)
         .map { WorkMessage(sender, ++number, isLeaving = isLeaving, leaving = it) }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
@@ -174,9 +174,22 @@
         WorkMessage(sender, number = 10, leaving = listOf(LeavingReport("runner-1", start = 1_700_000_000_000))),
     )
 
+    /** Written by the build that added the field, which older builds skip. */
+    @Test
+    fun `speeds of endpoints`() = assertBytes(
+        "0a120a0766726f6e742d31120773746172742d37" +
+            "100b" +
+            "52160a0872756e6e65722d311080d095ffbc3118aa01200c",
+        WorkMessage(
+            sender,
+            number = 11,
+            speeds = listOf(SpeedReport("runner-1", 1_700_000_000_000, 170, answers = 12)),
+        ),
+    )
+
     @Test
     fun `a field that a later build adds is skipped`() {
-        val bytes = HexFormat.of().parseHex("0a120a0766726f6e742d31120773746172742d37" + "1001" + "5203616263")
+        val bytes = HexFormat.of().parseHex("0a120a0766726f6e742d31120773746172742d37" + "1001" + "5a03616263")
         assertEquals(WorkMessage(sender, number = 1), WorkMessage.decode(bytes))
     }
 
