A first answer is kept when a second one could not be sent or would be late

Cause: an uncertain answer was dropped, the configuration was then no longer confirmed, the second send was not allowed, and the request ended with status 502. The time of the second answer was taken to be that of the first.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/ModelCascade.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/ModelCascade.kt
@@ -10,12 +10,16 @@
  * @property occupancy share of the pool's capacity that is in use, from 0; above 1 requests wait.
  * @property remaining time left for the answer to start and still be on time.
  * @property expectedStart time until a second answer is expected to start.
+ * @property timeLeft time left until the deadline of the request.
+ * @property expectedEnd time until a second answer is expected to end; zero if not known.
  */
 public data class FirstAnswer(
     val confidence: Int?,
     val occupancy: Double,
     val remaining: Duration,
     val expectedStart: Duration,
+    val timeLeft: Duration = Duration.INFINITE,
+    val expectedEnd: Duration = Duration.ZERO,
 )
 
 /** Chooses models on routes that leave the choice to the router. */
@@ -48,6 +52,7 @@
         val largest = models.last()
         val confidence = answer.confidence ?: return null
         if (asked == largest || answer.expectedStart > answer.remaining) return null
+        if (answer.expectedEnd > answer.timeLeft) return null
         return largest.takeIf { confidence < thresholdAt(answer.occupancy) }
     }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RequestSender.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RequestSender.kt
@@ -248,7 +248,10 @@
     }
 
     override fun trySelectLargerModel(asked: ModelId, answer: FirstAnswer): ModelId? {
-        val larger = context.cascade.next(route.models, asked, answer) ?: return null
+        val inTime = answer.copy(timeLeft = request.remaining)
+        val now = context.timeSource.markNow()
+        val larger = context.largerModels.next(route.models, asked, inTime, head.prompt, candidates.all, now)
+            ?: return null
         // The part of a limited endpoint is left for requests that have no answer yet.
         if (!candidates.hasUnlimited) return null
         val denial = if (attemptsSent < route.attemptLimit) null else RepeatDenial.ATTEMPTS_SPENT
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -4,9 +4,11 @@
 import io.quetzalfield.forwarding.RouterMetrics
 import io.quetzalfield.forwarding.choice.ActiveSessions
 import io.quetzalfield.forwarding.choice.AnswerPace
+import io.quetzalfield.forwarding.choice.AnswerTimeEstimates
 import io.quetzalfield.forwarding.choice.ConfidenceCascade
 import io.quetzalfield.forwarding.choice.EndpointLimits
 import io.quetzalfield.forwarding.choice.EndpointPlacement
+import io.quetzalfield.forwarding.choice.LargerModelChoice
 import io.quetzalfield.forwarding.choice.LeastWorkPlacement
 import io.quetzalfield.forwarding.choice.LimitSharers
 import io.quetzalfield.forwarding.choice.ModelCascade
@@ -44,6 +46,7 @@
     public val observer: VersionObserver = VersionObserver(),
     public val pace: AnswerPace = AnswerPace(),
     public val placement: EndpointPlacement = LeastWorkPlacement(),
+    public val answerTimes: AnswerTimeEstimates = AnswerTimeEstimates(),
     public val cascade: ModelCascade = ConfidenceCascade(),
     public val crashes: CrashGuard = CrashGuard(eventLoop, connections, metrics),
     public val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
@@ -78,8 +81,14 @@
     public var openExchanges: Int = 0
 
     /** Whether the last confirmation of the configuration is recent enough to run requests. */
-    public val isConfigurationCurrent: Boolean
-        get() = confirmationBound == null || configuration.isConfirmedWithin(confirmationBound)
+    public val isConfigurationCurrent: Boolean get() = isConfigurationCurrentFor(Duration.ZERO)
+
+    /** Decides on second answers by larger models. */
+    public val largerModels: LargerModelChoice = LargerModelChoice(cascade, answerTimes, ::isConfigurationCurrentFor)
+
+    /** Whether it will still be recent enough after [margin], if no other one arrives. */
+    public fun isConfigurationCurrentFor(margin: Duration): Boolean =
+        confirmationBound == null || configuration.isConfirmedWithin(confirmationBound - margin)
 
     /** Selects one of the services of [route] at random, in proportion to their weights. */
     public fun pickService(route: Route): ServiceId {
