Expected starts in the log and metrics, and the placement by them in the program

Change: send lines carry expected_start; quetzalfield_start_over_expected_ratio is the histogram of the error; answers are recorded for the estimates where a placement has an expectation. readWeight applies as before.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -60,6 +60,10 @@
     private val firstEvent = Histogram.builder().name("quetzalfield_first_event_seconds")
         .help("Time from the whole request to the first event passed on").register(registry)
 
+    private val startError = Histogram.builder().name("quetzalfield_start_over_expected_ratio")
+        .help("Time from the send of a request to the start of its answer, over the expected one")
+        .classicUpperBounds(*StartErrorBounds).register(registry)
+
     private val evacuatedDomains = Gauge.builder().name("quetzalfield_evacuated_failure_domains")
         .help("Failure domains whose endpoints get nothing by order of the operator").register(registry)
 
@@ -164,7 +168,13 @@
         firstEvent.observe(after.toDouble(DurationUnit.SECONDS))
     }
 
+    /** Records that an answer expected to start after [expected] started after [measured]; nothing if unknown. */
+    public fun observeStart(expected: Duration, measured: Duration) {
+        if (expected > Duration.ZERO) startError.observe(measured / expected)
+    }
+
     private companion object {
+        val StartErrorBounds = doubleArrayOf(0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
         const val PART = "part"
         const val REQUEST = "request"
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -8,9 +8,10 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.quetzalfield.decision.rendezvousOrder
 import io.quetzalfield.forwarding.choice.ActiveSessions
+import io.quetzalfield.forwarding.choice.AnswerTimeEstimates
 import io.quetzalfield.forwarding.choice.EndpointLimits
+import io.quetzalfield.forwarding.choice.ExpectedStartPlacement
 import io.quetzalfield.forwarding.choice.HeldSessions
-import io.quetzalfield.forwarding.choice.LeastWorkPlacement
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.SessionHolds
 import io.quetzalfield.forwarding.choice.VersionSplit
@@ -83,6 +84,7 @@
         onUnexpectedBytes = metrics::countUnexpectedBytes,
     )
     private val crashes = CrashGuard(eventLoop, connections, metrics, timeSource, ::trialRank)
+    private val answerTimes = AnswerTimeEstimates()
     private val context = RoutingContext(
         eventLoop = eventLoop,
         configuration = ConfigurationHolder(timeSource),
@@ -93,7 +95,11 @@
         connections = connections,
         sessions = sessions,
         versions = VersionSplit(timeSource, sessions = sessions, holds = sessionHolds),
-        placement = LeastWorkPlacement(readWeight = if (settings.isCapacityScarce) SCARCE_READ_WEIGHT else 1),
+        placement = ExpectedStartPlacement(
+            answerTimes,
+            readWeight = if (settings.isCapacityScarce) SCARCE_READ_WEIGHT else 1,
+        ),
+        answerTimes = answerTimes,
         crashes = crashes,
         timeSource = timeSource,
         confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/AnswerSpeedMonitor.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/AnswerSpeedMonitor.kt
@@ -3,7 +3,7 @@
 import io.netty.util.concurrent.ScheduledFuture
 import io.quetzalfield.forwarding.choice.PaceKey
 import io.quetzalfield.forwarding.choice.PauseClassifier
-import io.quetzalfield.forwarding.endpoints.Endpoint
+import io.quetzalfield.forwarding.choice.Placement
 import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.ModelId
 import kotlin.time.ComparableTimeMark
@@ -15,10 +15,11 @@
  */
 internal class AnswerSpeedMonitor(
     private val request: AdmittedRequest,
-    private val endpoint: Endpoint,
+    private val placement: Placement,
     model: ModelId?,
 ) {
     private val context = request.context
+    private val endpoint = placement.endpoint
     private val route = request.route
     private val key = PaceKey(route.name, model)
     private val startedAt = context.timeSource.markNow()
@@ -28,6 +29,7 @@
         context.versions.isComparing(request.service) && endpoint.description.coldFor == Duration.ZERO
     private val pauses = PauseClassifier(context.pace.longPause(key))
     private var lastEventAt: ComparableTimeMark? = null
+    private var answerStartedAt: ComparableTimeMark? = null
     private var isClosed = false
     private var timer: ScheduledFuture<*>? = null
 
@@ -39,6 +41,7 @@
 
     /** Called for each stream event received. */
     fun onEvent() {
+        if (answerStartedAt == null) recordStart()
         if (isClosed) return
         val now = context.timeSource.markNow()
         val before = lastEventAt
@@ -47,6 +50,19 @@
         if (pauses.isComplete || pauses.isSlow) classifyByPauses()
     }
 
+    private fun recordStart() {
+        val now = context.timeSource.markNow()
+        answerStartedAt = now
+        val expected = placement.expected ?: return
+        context.metrics.observeStart(expected.start, now - startedAt)
+        context.answerTimes.record(expected, now - startedAt, now)
+    }
+
+    private fun recordEnd() {
+        val begun = answerStartedAt ?: return recordStart()
+        placement.expected?.let { context.answerTimes.recordEnd(it, begun.elapsedNow(), context.timeSource.markNow()) }
+    }
+
     private fun startPauseTimer() {
         timer?.cancel(false)
         val limit = pauses.overdueAfter
@@ -56,6 +72,7 @@
 
     /** Called when the answer is complete. */
     fun onAnswerComplete() {
+        recordEnd()
         if (isClosed) return
         if (!route.isStream) return count(isSlow = startedAt.elapsedNow() > route.objective)
         pauses.end()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -46,7 +46,7 @@
     /** Bytes of the body that are buffered until it is complete. */
     private var bufferedBytes = 0
     private val silence = SilenceWatch(context, route, endpoint, sentAt, ::onSilenceExceeded)
-    private val speed = AnswerSpeedMonitor(request, endpoint, askedModel)
+    private val speed = AnswerSpeedMonitor(request, placement, askedModel)
     private val statements = StatementRecorder(context, request.caller, endpoint)
 
     /** Sends the request; [number] is the number of this send, from 1. */
@@ -74,6 +74,7 @@
             "attempt" to number,
             "in_flight" to endpoint.inFlight,
             "unread_tokens" to placement.tokensToRead,
+            "expected_start" to placement.expected?.start,
             "parts" to head.sharedParts.takeIf { it.isNotEmpty() }?.joinToString(",")?.take(LOGGED_PARTS_LENGTH),
             "remaining" to attemptHead.remaining,
         )
