--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -62,6 +62,11 @@
 
     private val demoted = Counter.builder().name("quetzalfield_demoted_requests_total")
         .help("Requests that were less urgent as their client account sent many times its usual").register(registry)
+
+    private val startError = Histogram.builder().name("quetzalfield_start_over_expected_ratio")
+        .help("Time from the send of a request to the start of its answer, over the expected one")
+        .classicUpperBounds(*StartErrorBounds).register(registry)
+
     private val evacuatedDomains = Gauge.builder().name("quetzalfield_evacuated_failure_domains")
         .help("Failure domains whose endpoints get nothing by order of the operator").register(registry)
 
@@ -171,7 +176,13 @@
         firstEvent.observe(after.toDouble(DurationUnit.SECONDS))
     }
 
+    /** Records that an answer expected to start after [expected] started after [measured]; nothing if unknown. */
+    public fun observeStart(expected: Duration, measured: Duration) {
+        if (expected > Duration.ZERO) startError.observe(measured / expected)
+    }
+
     private companion object {
+        val StartErrorBounds = doubleArrayOf(0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
         const val PART = "part"
         const val REQUEST = "request"
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -9,10 +9,11 @@
 import io.quetzalfield.decision.rendezvousOrder
 import io.quetzalfield.forwarding.choice.AccountDemand
 import io.quetzalfield.forwarding.choice.ActiveSessions
+import io.quetzalfield.forwarding.choice.AnswerTimeEstimates
 import io.quetzalfield.forwarding.choice.ConfidenceCascade
 import io.quetzalfield.forwarding.choice.EndpointLimits
+import io.quetzalfield.forwarding.choice.ExpectedStartPlacement
 import io.quetzalfield.forwarding.choice.HeldSessions
-import io.quetzalfield.forwarding.choice.LeastWorkPlacement
 import io.quetzalfield.forwarding.choice.ReadingLoad
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.SessionHolds
@@ -86,6 +87,7 @@
         onUnexpectedBytes = metrics::countUnexpectedBytes,
     )
     private val crashes = CrashGuard(eventLoop, connections, metrics, timeSource, ::trialRank)
+    private val answerTimes = AnswerTimeEstimates()
     private val context = RoutingContext(
         eventLoop = eventLoop,
         configuration = ConfigurationHolder(timeSource),
@@ -96,7 +98,11 @@
         connections = connections,
         sessions = sessions,
         versions = VersionSplit(timeSource, sessions = sessions, holds = sessionHolds),
-        placement = LeastWorkPlacement(readWeight = if (settings.isCapacityScarce) SCARCE_READ_WEIGHT else 1),
+        placement = ExpectedStartPlacement(
+            answerTimes,
+            readWeight = if (settings.isCapacityScarce) SCARCE_READ_WEIGHT else 1,
+        ),
+        answerTimes = answerTimes,
         cascade = if (settings.isCapacityScarce) ScarceCascade else ConfidenceCascade(),
         accountDemand = if (settings.isCapacityScarce) AccountDemand(timeSource) else null,
         readingLoad = if (settings.isCapacityScarce) ({ ReadingLoad(timeSource) }) else null,
