--- a/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
@@ -40,6 +40,7 @@
  * @property relistInterval interval at which the keys are listed again, because a watch can miss changes while the
  * store drops its history.
  * @property batchPause pause after a response with changes, so that the next response contains several.
+ * @property longestBatchPause the same while changes go on, as when many instances start; it grows up to this.
  * @property confirmation key that is read in addition to the watch to confirm that the part is current; `null` if the
  * listings suffice.
  */
@@ -47,6 +48,7 @@
     val wait: Duration = 1_500.milliseconds,
     val relistInterval: Duration = 3.seconds,
     val batchPause: Duration = 20.milliseconds,
+    val longestBatchPause: Duration = batchPause,
     val confirmation: Confirmation? = null,
 )
 
