Instances that the store turns away are confirmed through others; longer leases in large fleets; few calls at a start

RelayPreference: a lapsed instance may use any member; one that is listed and cannot read uses a substitute, says that it has lost the store, so that nobody relies on it, and goes on trying. A relay that is preferred is asked beside the present one until it is current. StartPhase: only the list of instances is read at a start if others are listed, for 0.8 s at most. PartMirror.isBehind compares keys instead of revisions of other keys. A part that a relay has read for the first time goes out as a state, as a change of an unknown part closes the connection. MembershipTerms: leases of up to 24 s, extended each 8 s, from 9 instances on; records of earlier incarnations do not count. ObservationPace: observations of the version before each 5 s in a large fleet, those of the new one as before.

Before, the three new tests of RelayedStoreTest.TurnedAway failed (confirmed 3.5, 3.0 and 3.0 s ago after 8.6, 4.6 and 4.6 s). MembershipCallsTest: 0.17 calls a second an instance at 76 and 300 instances in simulated time, 1.0 by the code before; the same at 26 that started together, as a new lease for all costs more than it saves soon.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -27,6 +27,7 @@
 import io.quetzalfield.forwarding.fleet.MemberRecord
 import io.quetzalfield.forwarding.fleet.Members
 import io.quetzalfield.forwarding.fleet.Membership
+import io.quetzalfield.forwarding.fleet.ObservationPace
 import io.quetzalfield.forwarding.fleet.ObservationRecord
 import io.quetzalfield.forwarding.fleet.RolloutDuty
 import io.quetzalfield.forwarding.fleet.RolloutOrder
@@ -107,7 +108,7 @@
         MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("relay", true), NioIoHandler.newFactory())
     private val followedStore = RelayedStore(platform.store, record, relayGroup.next(), timeSource)
     private val callers = CallerConnections()
-    private val membership = Membership(platform.store, record)
+    private val membership = Membership(platform.store, record, timeSource) { members.count }
     private val duty = DutyLease(platform.store, ROLLOUT_DUTY, incarnation, DutyTimeToLive, DutyMargin, timeSource)
     private val rollouts = RolloutDuty(
         store = platform.store,
@@ -126,6 +127,7 @@
     @Volatile
     private var orders: List<RolloutOrder> = emptyList()
     private val observations = LeasedRecords(platform.store) { membership.lease }
+    private val observationPace = ObservationPace(timeSource)
     private val blameRecords =
         BlameRecords(platform.store) { eventLoop.submit<List<BlameReport>>(crashes::ownDecisions).get() }
 
@@ -270,11 +272,15 @@
 
     /** Stores this instance's observations of versions while a roll-out is open. */
     private fun publishObservations() {
+        observationPace.retain(orders)
         for (order in orders.filter(::isOpen)) {
             val seen = eventLoop.submit<ObservationRecord> { observationsOf(order) }.get()
-            observations.publish(FleetKeys.observations(order.service, incarnation), seen) {
+            val key = FleetKeys.observations(order.service, incarnation)
+            if (observations.isUnderCurrentLease(key) && !observationPace.isDue(order, seen, members.count)) continue
+            val isStored = observations.publish(key, seen) {
                 PlatformJson.encodeToString(ObservationRecord.serializer(), seen)
             }
+            if (isStored) observationPace.recordStored(order, seen)
         }
     }
 
@@ -307,7 +313,7 @@
         /** Time for which an instance may go on with requests after its lease has lapsed. */
         private val UnlistedWork = 5.seconds
 
-        /** A third of the lease of the membership. */
+        /** The time after which the lease of the membership is extended in a small fleet. */
         private val MembershipPeriod = 1.seconds
 
         /** A fraction of the shortest time within which a bad version must be rolled back. */
@@ -322,7 +328,8 @@
         private val HoldPeriod = 1.seconds
 
         /** Members change rarely, and a step of a roll-out is received at once. */
-        private val FleetFollowSettings = FollowSettings(wait = 4.seconds, relistInterval = 10.seconds)
+        private val FleetFollowSettings =
+            FollowSettings(wait = 4.seconds, relistInterval = 10.seconds, longestBatchPause = 320.milliseconds)
 
         /** Time after which another instance takes over the duty of one that has died. */
         private val DutyTimeToLive = 3.seconds
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/LeasedRecords.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/LeasedRecords.kt
@@ -21,14 +21,20 @@
     /** Whether a record was written under [key]. */
     fun isPublished(key: String): Boolean = key in published
 
-    /** Writes [content], as [encode] returns it, under [key] unless that was already done under the current lease. */
-    fun publish(key: String, content: Any, encode: () -> String) {
-        val current = Published(content, lease() ?: return)
-        if (published[key] == current) return
+    /** Whether a record was written under [key] with the lease that is current now. */
+    fun isUnderCurrentLease(key: String): Boolean = published[key]?.let { it.lease == lease() } ?: false
+
+    /**
+     * Writes [content], as [encode] returns it, under [key] unless that was already done under the current lease.
+     * Returns whether it is now written.
+     */
+    fun publish(key: String, content: Any, encode: () -> String): Boolean {
+        val current = Published(content, lease() ?: return false)
+        if (published[key] == current) return true
         val expected = revisions[key] ?: StoreRevision.Absent
         val result = store.compareAndSwap(key, expected, encode(), current.lease).getOrElse { error ->
             DecisionLog.write("record_not_written", "key" to key, "reason" to error.message)
-            return
+            return false
         }
         when (result) {
             is SwapResult.Swapped -> {
@@ -38,5 +44,6 @@
 
             is SwapResult.Conflict -> revisions[key] = result.current?.modified ?: StoreRevision.Absent
         }
+        return result is SwapResult.Swapped
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
@@ -4,6 +4,7 @@
 import io.quetzalfield.forwarding.choice.LimitSharers
 import io.quetzalfield.forwarding.relay.ListedMember
 import io.quetzalfield.forwarding.relay.RelayGroups
+import io.quetzalfield.forwarding.relay.latestIncarnations
 import io.quetzalfield.forwarding.relay.listedMember
 import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.Incarnation
@@ -17,7 +18,8 @@
 import kotlin.time.TimeSource
 
 /**
- * The instances that accept requests, as listed in the store. Used on the event loop only.
+ * The instances that accept requests, as listed in the store. Used on the event loop only, except for [count]. Of an
+ * instance that has been restarted only the latest incarnation counts, also while an earlier one is still listed.
  *
  * @param partRetention time for which an instance that is no longer listed counts among those that have a part of what
  * all instances share.
@@ -55,11 +57,16 @@
 
     private val ownKey = FleetKeys.member(own.incarnation)
 
+    /** The listed members without the earlier incarnations of instances that have been restarted. */
+    private var latest: List<ListedMember> = emptyList()
+
     private val others: List<MemberRecord>
-        get() = listed.values.map(ListedMember::record).filter { it.incarnation != own.incarnation }
+        get() = latest.map(ListedMember::record).filter { it.incarnation.instance != own.incarnation.instance }
 
     /** Number of instances that are listed, and this one if it is not; at least 1. */
-    public val count: Int get() = if (ownKey in listed) listed.size else listed.size + 1
+    @Volatile
+    public var count: Int = 1
+        private set
 
     /**
      * Number of instances that may have used their part of what all instances share: those that are listed, those that
@@ -116,7 +123,10 @@
     /** Applies one change of the list. */
     public fun update(change: StoreChange): Unit = noticingOwnEntry {
         val value = change.value
+        val before = listed[change.key]
         if (value != null) put(value) else listed.remove(change.key)?.let { recordUnlisted(it.record.incarnation) }
+        // A record is also written anew under another lease.
+        if (listed[change.key] == before) return@noticingOwnEntry
         updatePeers()
         DecisionLog.write(
             "member_change",
@@ -189,18 +199,20 @@
     private fun updatePeers() {
         currentSharers = null
         currentPartCount = null
+        latest = listed.values.latestIncarnations()
+        count = others.size + 1
         peers = others
             .mapNotNull { record ->
                 val address = record.peerAddress?.let(HostPort::parse) ?: return@mapNotNull null
                 record.incarnation to InetSocketAddress(address.host, address.port)
             }
             .toMap()
-        val present = listed.values.mapTo(HashSet()) { it.record.incarnation }
+        val present = latest.mapTo(HashSet()) { it.record.incarnation }
         lastPresence.keys.retainAll(present)
         firstListed.keys.retainAll(present)
         val now = timeSource.markNow()
         present.forEach { firstListed.getOrPut(it) { now } }
-        val groups = RelayGroups(listed.values)
+        val groups = RelayGroups(latest)
         ownGroup = groups.groupOf(own.incarnation).map(MemberRecord::incarnation)
         otherGroups = groups.otherGroups(own.incarnation).map { group -> group.map(MemberRecord::incarnation) }
         groupPeers = ownGroup.toSet() - own.incarnation
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayGroups.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayGroups.kt
@@ -13,6 +13,10 @@
 internal fun listedMember(value: StoredValue): ListedMember? =
     value.decodeOrLog(MemberRecord.serializer(), "member_unreadable")?.let { ListedMember(it, value.created) }
 
+/** Returns the latest incarnation of each instance; an earlier one has ended, but its lease may not have. */
+internal fun Collection<ListedMember>.latestIncarnations(): List<ListedMember> =
+    groupBy { it.record.incarnation.instance }.values.map { all -> all.maxBy(ListedMember::joined) }
+
 /**
  * Divides the instances into groups, in which the first member relays the store's keys to the others.
  *
@@ -21,7 +25,7 @@
  * the relays of the others.
  */
 internal class RelayGroups(members: Collection<ListedMember>) {
-    private val groups: Collection<List<MemberRecord>> = members
+    private val groups: Collection<List<MemberRecord>> = members.latestIncarnations()
         .filter { it.record.peerAddress != null }
         .sortedWith(compareBy({ it.joined }, { it.record.incarnation }))
         .map(ListedMember::record)
@@ -48,6 +52,16 @@
         return candidates.takeWhile { it.incarnation != incarnation }
     }
 
+    /**
+     * Any members but [own] itself, from which it may get the store's keys while it has none of [relaysFor], as it is
+     * not listed or cannot reach the store: those of its failure domain first. One of them may itself rely on [own], so
+     * that an instance which is listed must not be relied on while it uses one of these.
+     */
+    fun substitutesFor(own: MemberRecord): List<MemberRecord> = groups.flatten()
+        .filter { it.incarnation.instance != own.incarnation.instance }
+        .partition { it.failureDomain == own.failureDomain }
+        .let { (near, far) -> near + far }
+
     private fun List<MemberRecord>.includes(incarnation: Incarnation) = any { it.incarnation == incarnation }
 
     private companion object {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayLink.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayLink.kt
@@ -21,6 +21,12 @@
     /** Called when the relay's copy of the part under [prefix] has changed. */
     fun onChanges(link: RelayLink, prefix: String, changes: List<StoreChange>)
 
+    /** Called when the connection has been opened. */
+    fun onOpened(link: RelayLink)
+
+    /** Called when the connection has been closed or could not be opened. */
+    fun onClosed(link: RelayLink)
+
     /** Called when the relay has answered the query that was sent at [asked]. */
     fun onAnswer(link: RelayLink, asked: CallTime, parts: List<PartFreshness>)
 }
@@ -28,7 +34,7 @@
 /** A connection to the instance [relay], which sends its copy of the store's keys. Used on [eventLoop] only. */
 internal class RelayLink(
     private val eventLoop: EventLoop,
-    val relay: MemberRecord,
+    val target: RelayTarget,
     val openedAt: CallTime,
     private val listener: RelayLinkListener,
 ) {
@@ -43,9 +49,16 @@
     var isClosed = false
         private set
 
+    /** The instance at the other end. */
+    val relay: MemberRecord get() = target.relay
+
     /** Whether this instance takes the store's keys from this link. */
     var isAttached = false
 
+    /** Whether the relay said in its last answer that it has lost the store, which it had read before. */
+    var isRelayLost = false
+        private set
+
     /** The copy of the part under [prefix] that the relay has sent; `null` until it is complete. */
     fun mirrorOf(prefix: String): PartMirror? = mirrors[prefix]?.takeIf(PartMirror::isComplete)
 
@@ -63,9 +76,12 @@
                 override fun initChannel(channel: SocketChannel) = channel.addRelayHandlers(Handler())
             })
             .connect(address.host, address.port)
-            .addListener { future -> if (!future.isSuccess) isClosed = true }
+            .addListener { future -> if (future.isSuccess) listener.onOpened(this) }
             .channel().also { channel = it }
-            .closeFuture().addListener { isClosed = true }
+            .closeFuture().addListener {
+                isClosed = true
+                listener.onClosed(this)
+            }
     }
 
     /** Queries how current the relay's parts are. The age of the answer counts from [now]. */
@@ -106,6 +122,7 @@
         val sent = pending.remove(message.number) ?: return
         pending.keys.removeAll { it < message.number }
         for (part in message.parts) mirrors[part.prefix]?.advanceTo(StoreRevision(part.reached))
+        isRelayLost = message.parts.any { it.isLost && it.reached > 0 }
         listener.onAnswer(this, sent, message.parts)
     }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayServer.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayServer.kt
@@ -55,6 +55,16 @@
         followers.toList().forEach(Channel::close)
     }
 
+    /** Sends [state], the content of the part under [prefix] that has been read for the first time, to the followers. */
+    fun sendState(prefix: String, state: List<StoredValue>) {
+        if (followers.isEmpty()) return
+        val message = stateMessage(prefix, state)
+        followers.toList().forEach { it.sendRelayMessage(message) }
+    }
+
+    private fun stateMessage(prefix: String, state: List<StoredValue>): ByteArray =
+        RelayMessage.State(prefix, state.map { RelayedKey.of(StoreChange(it.key, it)) }).encode()
+
     /** Sends [changes] of the part under [prefix] to the followers. */
     fun sendChanges(prefix: String, changes: List<StoreChange>) {
         if (followers.isEmpty() || changes.isEmpty()) return
@@ -70,8 +80,7 @@
             }
             followers += context.channel()
             for ((prefix, state) in parts.states) {
-                val keys = state.map { RelayedKey.of(StoreChange(it.key, it)) }
-                context.channel().sendRelayMessage(RelayMessage.State(prefix, keys).encode())
+                context.channel().sendRelayMessage(stateMessage(prefix, state))
             }
         }
 
--- /dev/null
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/StartPhase.kt
@@ -0,0 +1,33 @@
+package io.quetzalfield.forwarding.relay
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+/**
+ * Decides whether an instance that has just started reads everything from the store, or only the list of instances
+ * until one of them sends it the rest.
+ *
+ * Load pattern: all instances are restarted at once, and each would list and watch every part for the seconds in which
+ * it finds its relay.
+ */
+internal class StartPhase(timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic) {
+    private val start = timeSource.markNow()
+
+    /**
+     * @param isListRead whether the list of instances has been read.
+     * @param hasOthers whether another instance is listed.
+     * @param isListed whether this instance is listed.
+     * @param hasTarget whether there is an instance to ask.
+     */
+    fun mustReadAll(isListRead: Boolean, hasOthers: Boolean, isListed: Boolean, hasTarget: Boolean): Boolean {
+        val isAlone = isListRead && !hasOthers
+        val isFirst = isListed && !hasTarget
+        return isAlone || isFirst || start.elapsedNow() > Patience
+    }
+
+    companion object {
+        /** Several queries; short compared with the start of a process. */
+        val Patience: Duration = 800.milliseconds
+    }
+}
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/PartMirrorTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/PartMirrorTest.kt
@@ -3,6 +3,7 @@
 import io.quetzalfield.store.StoreChange
 import io.quetzalfield.store.StoreRevision
 import io.quetzalfield.store.StoredValue
+import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -46,4 +47,43 @@
         mirror.advanceTo(StoreRevision(5))
         assertEquals(StoreRevision(8), mirror.reached)
     }
+
+    /** Load pattern: an instance that has just read everything compares its relay, whose watch has answered earlier. */
+    @Nested
+    inner class Behind {
+        private val newer = PartMirror()
+
+        private fun fill(mirror: PartMirror, reached: Long, vararg values: StoredValue) {
+            mirror.replace(values.toList())
+            mirror.advanceTo(StoreRevision(reached))
+        }
+
+        @Test
+        fun `a copy that only lacks revisions of other keys is not behind`() {
+            fill(mirror, 5, stored("a", "one", 3))
+            fill(newer, 9, stored("a", "one", 3))
+            assertFalse(mirror.isBehind(newer))
+        }
+
+        @Test
+        fun `a copy that lacks a write, a new key or a removal is behind`() {
+            fill(mirror, 5, stored("a", "one", 3))
+            fill(newer, 9, stored("a", "two", 7))
+            assertTrue(mirror.isBehind(newer))
+            fill(newer, 9, stored("a", "one", 3), stored("b", "one", 8))
+            assertTrue(mirror.isBehind(newer))
+            fill(newer, 9)
+            assertTrue(mirror.isBehind(newer))
+        }
+
+        @Test
+        fun `a copy that has what the other has not seen yet is not behind`() {
+            fill(mirror, 8, stored("a", "two", 8))
+            fill(newer, 7, stored("a", "one", 3))
+            assertFalse(mirror.isBehind(newer))
+            fill(newer, 9, stored("a", "two", 8))
+            mirror.update(StoreChange("c", stored("c", "later", 12)))
+            assertFalse(mirror.isBehind(newer))
+        }
+    }
 }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/RelayedStoreTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/RelayedStoreTest.kt
@@ -20,6 +20,7 @@
 import io.quetzalfield.store.StoredValue
 import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import java.net.ServerSocket
 import java.util.concurrent.ConcurrentHashMap
@@ -54,9 +55,13 @@
         @Volatile
         var lastConfirmed: ComparableTimeMark? = null
 
+        /** Prefixes that this instance follows in the store now. */
+        val follows = AtomicInteger()
+
         override fun follow(prefix: String, follower: StoreFollower, settings: FollowSettings): StoreWatch {
             val isOver = CountDownLatch(1)
             directFollows.incrementAndGet()
+            follows.incrementAndGet()
             thread(isDaemon = true) {
                 while (isOver.count > 0) {
                     val sent = CallTime(TimeSource.Monotonic.markNow(), Clock.System.now())
@@ -73,6 +78,7 @@
                     Thread.sleep(20)
                 }
                 directFollows.decrementAndGet()
+                follows.decrementAndGet()
             }
             return StoreWatch { isOver.countDown() }
         }
@@ -219,6 +225,69 @@
         awaitKnown("second")
     }
 
+    /** Load pattern: instances are restarted while others run. */
+    @Test
+    fun `an instance that starts beside others reads the list of instances only`() {
+        write("first")
+        instances.take(4).forEach(Instance::start)
+        await(10.seconds) { instances.take(4).count { it.relayed.isReader } == 1 && directFollows.get() == 2 }
+        var most = 0
+        val late = instances[4]
+        late.start()
+        await(5.seconds) {
+            most = maxOf(most, late.direct.follows.get())
+            late.known["lists/current"] == "first" && !late.relayed.isReader
+        }
+        assertEquals(1, most)
+    }
+
+    /** Load pattern: the store turns some instances away for longer than the bound on the age of confirmations. */
+    @Nested
+    inner class TurnedAway {
+        private fun assertConfirmed(instance: Instance) {
+            val age = checkNotNull(instance.confirmed).elapsedNow()
+            assertTrue(age < 3.seconds, "${instance.record.incarnation}: confirmed $age ago")
+        }
+
+        @Test
+        fun `the first of all is confirmed through another instance`() {
+            startAll()
+            instances.first().direct.isCut = true
+            repeat(5) {
+                Thread.sleep(1_000)
+                instances.forEach(::assertConfirmed)
+            }
+            write("second")
+            awaitKnown("second")
+            instances.first().direct.isCut = false
+            await(15.seconds) { instances.count { it.relayed.isReader } == 1 }
+        }
+
+        @Test
+        fun `the first two of all are confirmed through a third`() {
+            startAll()
+            instances.take(2).forEach { it.direct.isCut = true }
+            repeat(5) {
+                Thread.sleep(1_000)
+                instances.forEach(::assertConfirmed)
+            }
+        }
+
+        @Test
+        fun `an instance whose lease has lapsed meanwhile is confirmed through its relay`() {
+            startAll()
+            val third = instances[2]
+            third.direct.isCut = true
+            val key = FleetKeys.member(third.record.incarnation)
+            val listed = checkNotNull(store.read(key).getOrElse { null })
+            store.compareAndDelete(key, listed.modified)
+            repeat(11) {
+                Thread.sleep(1_000)
+                assertConfirmed(third)
+            }
+        }
+    }
+
     private companion object {
         /** The shortest time within which a change must be in force, as the platform's users require. */
         val ChangeBound = 2.seconds
