--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayServer.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayServer.kt
@@ -55,7 +55,7 @@
         followers.toList().forEach(Channel::close)
     }
 
-    /** Sends [state], the content of the part under [prefix] that has been read for the first time, to the followers. */
+    /** Sends [state], all of the part under [prefix], to the followers when it has been read for the first time. */
     fun sendState(prefix: String, state: List<StoredValue>) {
         if (followers.isEmpty()) return
         val message = stateMessage(prefix, state)
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/ObservationPaceTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/ObservationPaceTest.kt
@@ -10,7 +10,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 
-/** Load pattern: a roll-out of 24 s, of whose requests each instance sees a few a second, hardly any of the new version. */
+/** Load pattern: a roll-out of 24 s, of which each instance sees a few requests a second, few of the new version. */
 class ObservationPaceTest {
     private val time = TestTimeSource()
     private val pace = ObservationPace(time)
