--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Members.kt
@@ -6,7 +6,6 @@
 import io.quetzalfield.forwarding.relay.RelayGroups
 import io.quetzalfield.forwarding.relay.latestIncarnations
 import io.quetzalfield.forwarding.relay.listedMember
-import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceId
 import io.quetzalfield.store.StoreChange
@@ -201,11 +200,8 @@
         currentPartCount = null
         latest = listed.values.latestIncarnations()
         count = others.size + 1
-        peers = others
-            .mapNotNull { record ->
-                val address = record.peerAddress?.let(HostPort::parse) ?: return@mapNotNull null
-                record.incarnation to InetSocketAddress(address.host, address.port)
-            }
+        peers = latest.filter { it.record.incarnation.instance != own.incarnation.instance }
+            .mapNotNull { member -> member.peerSocket?.let { member.record.incarnation to it } }
             .toMap()
         val present = latest.mapTo(HashSet()) { it.record.incarnation }
         lastPresence.keys.retainAll(present)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayGroups.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayGroups.kt
@@ -2,12 +2,19 @@
 
 import io.quetzalfield.forwarding.decodeOrLog
 import io.quetzalfield.forwarding.fleet.MemberRecord
+import io.quetzalfield.model.HostPort
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.store.StoreRevision
 import io.quetzalfield.store.StoredValue
+import java.net.InetSocketAddress
 
 /** A member with the store revision at which it joined. */
-internal data class ListedMember(val record: MemberRecord, val joined: StoreRevision)
+internal data class ListedMember(val record: MemberRecord, val joined: StoreRevision) {
+    /** Where it receives datagrams; parsed once, as the addresses of all members are needed at each change of the list. */
+    val peerSocket: InetSocketAddress? by lazy(LazyThreadSafetyMode.NONE) {
+        record.peerAddress?.let(HostPort::parse)?.let { InetSocketAddress(it.host, it.port) }
+    }
+}
 
 /** Decodes the member in [value]; writes a log line and returns `null` if that fails. */
 internal fun listedMember(value: StoredValue): ListedMember? =
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/StartPhase.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/StartPhase.kt
@@ -1,5 +1,6 @@
 package io.quetzalfield.forwarding.relay
 
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
@@ -11,8 +12,9 @@
  * Load pattern: all instances are restarted at once, and each would list and watch every part for the seconds in which
  * it finds its relay.
  */
-internal class StartPhase(timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic) {
+internal class StartPhase(private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic) {
     private val start = timeSource.markNow()
+    private var listRead: ComparableTimeMark? = null
 
     /**
      * @param isListRead whether the list of instances has been read.
@@ -21,13 +23,17 @@
      * @param hasTarget whether there is an instance to ask.
      */
     fun mustReadAll(isListRead: Boolean, hasOthers: Boolean, isListed: Boolean, hasTarget: Boolean): Boolean {
+        if (isListRead && listRead == null) listRead = timeSource.markNow()
         val isAlone = isListRead && !hasOthers
         val isFirst = isListed && !hasTarget
-        return isAlone || isFirst || start.elapsedNow() > Patience
+        return isAlone || isFirst || listRead?.let { it.elapsedNow() > Patience } ?: (start.elapsedNow() > ListPatience)
     }
 
     companion object {
-        /** Several queries; short compared with the start of a process. */
+        /** Time for others to answer once the list is read: several queries, short compared with a process's start. */
         val Patience: Duration = 800.milliseconds
+
+        /** Time for the list itself, whose call is the first of a process and the slowest. */
+        val ListPatience: Duration = 2_000.milliseconds
     }
 }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembersTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembersTest.kt
@@ -69,6 +69,44 @@
         assertEquals(listOf(1, 2, 3, 4), given())
     }
 
+    /** Load pattern: all instances are restarted at once while the records of their last start are still listed. */
+    @Nested
+    inner class Restarted {
+        private val next = records.map { record ->
+            record.copy(
+                incarnation = record.incarnation.copy(start = "next start"),
+                peerAddress = "127.0.0.1:${record.address.substringAfterLast('.').substringBefore(':')}",
+            )
+        }
+
+        private fun laterValueOf(record: MemberRecord) = valueOf(record).copy(created = StoreRevision(9))
+
+        @Test
+        fun `an earlier incarnation is no member, as soon as a later one is listed`() {
+            members.replace(records.map(::valueOf) + next.drop(1).map(::laterValueOf))
+            assertEquals(4, members.count)
+            assertEquals(next.drop(1).map { it.incarnation }.toSet(), members.peers.keys)
+        }
+
+        @Test
+        fun `the own earlier incarnation is no member before this one is listed`() {
+            val restarted = Members(own = next[0], time)
+            restarted.replace(records.map(::valueOf))
+            assertEquals(4, restarted.count)
+            assertEquals(listOf("10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80"), restarted.addresses(includesOwn = false).sorted())
+        }
+
+        @Test
+        fun `a record that is written anew under another lease changes nothing`() {
+            var times = 0
+            members.onListed = { times++ }
+            val before = members.peers
+            members.update(StoreChange(FleetKeys.member(records[1].incarnation), valueOf(records[1])))
+            assertEquals(0, times)
+            assertEquals(before, members.peers)
+        }
+    }
+
     /** Load pattern: instances end, are restarted or lose their leases after they have spent of what all share. */
     @Nested
     inner class Parts {
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/StartPhaseTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/StartPhaseTest.kt
@@ -38,9 +38,18 @@
     }
 
     @Test
-    fun `an instance that cannot read the list tries everything after a while`() {
+    fun `an instance whose first call takes long still asks another`() {
+        time += 1_500.milliseconds
         assertFalse(mustReadAll(isListRead = false, hasOthers = false, isListed = false, hasTarget = false))
+        assertFalse(mustReadAll())
         time += StartPhase.Patience + 1.milliseconds
+        assertTrue(mustReadAll())
+    }
+
+    @Test
+    fun `an instance that cannot read the list tries everything after a while`() {
+        assertFalse(mustReadAll(isListRead = false, hasOthers = false, isListed = false, hasTarget = false))
+        time += StartPhase.ListPatience + 1.milliseconds
         assertTrue(mustReadAll(isListRead = false, hasOthers = false, isListed = false, hasTarget = false))
     }
 }
