--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayGroups.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayGroups.kt
@@ -10,7 +10,7 @@
 
 /** A member with the store revision at which it joined. */
 internal data class ListedMember(val record: MemberRecord, val joined: StoreRevision) {
-    /** Where it receives datagrams; parsed once, as the addresses of all members are needed at each change of the list. */
+    /** Where it receives datagrams; parsed once, as each change of the list needs those of all members. */
     val peerSocket: InetSocketAddress? by lazy(LazyThreadSafetyMode.NONE) {
         record.peerAddress?.let(HostPort::parse)?.let { InetSocketAddress(it.host, it.port) }
     }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembersTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembersTest.kt
@@ -105,7 +105,10 @@
             val restarted = Members(own = next[0], time)
             restarted.replace(records.map(::valueOf))
             assertEquals(4, restarted.count)
-            assertEquals(listOf("10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80"), restarted.addresses(includesOwn = false).sorted())
+            assertEquals(
+                listOf("10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80"),
+                restarted.addresses(includesOwn = false).sorted(),
+            )
         }
 
         @Test
