Speeds: a stated time factor replaces the learnt speed while it is new, and is a sample of it

Change: Endpoint.slownessAt mixes the two by the age of the statement; speeds are learnt from whole times and from the stated factors, and told to the others each second. The replay states speeds the same way. Measured: UnevenSpeedHistoryTest, EndpointTest and the other tests of placement pass.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/AnswerTimeEstimates.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/AnswerTimeEstimates.kt
@@ -52,7 +52,7 @@
     public fun expectedEnd(work: Work, endpoint: Endpoint, now: ComparableTimeMark): Duration {
         val length = lengths[Key(endpoint.description.service, work.model)]?.takeIf { it.answers >= LEAST_ANSWERS }
             ?: return Duration.ZERO
-        return expectedStart(work, endpoint, now) + (exp(length.logarithm) * slowness(endpoint, now)).milliseconds
+        return expectedStart(work, endpoint, now) + (exp(length.logarithm) * endpoint.slownessAt(now)).milliseconds
     }
 
     /** Records that an answer ended [after] its start. */
@@ -73,7 +73,7 @@
         val start = if (unitTime == null || unitTime.answers < LEAST_ANSWERS) {
             Duration.ZERO
         } else {
-            (units * exp(unitTime.logarithm) * slowness(endpoint, now)).milliseconds
+            (units * exp(unitTime.logarithm) * endpoint.slownessAt(now)).milliseconds
         }
         return StartExpectation(endpoint, work.model, start, units)
     }
@@ -82,21 +82,18 @@
     public fun record(expectation: StartExpectation, after: Duration, now: ComparableTimeMark) {
         val endpoint = expectation.endpoint
         val key = Key(endpoint.description.service, expectation.model)
-        // The endpoint has stated the time factor with this answer.
         val milliseconds = after.toDouble(DurationUnit.MILLISECONDS).coerceAtLeast(SHORTEST_MILLISECONDS)
-        val measured = ln(milliseconds / (expectation.work * endpoint.timeFactorAt(now)))
+        val measured = ln(milliseconds / expectation.work)
         val unitTime = unitTimes.getOrPut(key) { UnitTime(measured, answers = 0) }
         val ratio = measured - unitTime.logarithm
         val error = (ratio - ln(endpoint.speed.slownessAt(now))).coerceIn(-LARGEST_ERROR, LARGEST_ERROR)
         unitTime.answers++
         unitTime.logarithm += error / minOf(unitTime.answers, MOST_ANSWERS)
         if (unitTime.answers >= LEAST_ANSWERS) endpoint.speed.record(exp(ratio), now)
+        // What is stated with the answer is a second sample, free of the errors of the expected work.
+        endpoint.load?.timeFactor?.let { endpoint.speed.record(it, now) }
     }
 
-    /** Time that work takes at [endpoint] in relation to the mean of its service. */
-    internal fun slowness(endpoint: Endpoint, now: ComparableTimeMark): Double =
-        endpoint.speed.slownessAt(now) * endpoint.timeFactorAt(now)
-
     internal fun tokensToRead(work: Work, endpoint: Endpoint, isHome: Boolean): Int {
         val model = work.model ?: return 0
         val unread = endpoint.cachedParts.unreadTokens(model, work.prompt)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/ExpectedStartPlacement.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/ExpectedStartPlacement.kt
@@ -32,7 +32,7 @@
 
     private fun drawByTime(work: Work, usable: List<Endpoint>, now: ComparableTimeMark): Placement {
         val placements = usable.map { place(work, it, isHome = false, now) }
-        val weights = placements.map { (it.work * estimates.slowness(it.endpoint, now)).pow(-SHARPNESS) }
+        val weights = placements.map { (it.work * it.endpoint.slownessAt(now)).pow(-SHARPNESS) }
         var position = random.nextDouble() * weights.sum()
         val drawn = placements.indices.firstOrNull { index ->
             position -= weights[index]
@@ -58,7 +58,7 @@
     private fun cost(placement: Placement, now: ComparableTimeMark): Double {
         val running = WaitingWork.runningAt(placement.endpoint, now)
         val harm = placement.tokensToRead * (readWeight - 1 + running * HARM)
-        return (placement.work + harm) * estimates.slowness(placement.endpoint, now)
+        return (placement.work + harm) * placement.endpoint.slownessAt(now)
     }
 
     private val Placement.work: Double get() = checkNotNull(expected) { "a placement without expectation" }.work
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -67,13 +67,16 @@
     public val statesTimeFactor: Boolean get() = load?.timeFactor != null
 
     /**
-     * Time that work takes at the endpoint at [now], in relation to the usual; 1 if it does not state that. The
-     * statement loses half of its weight with each [TimeFactorHalfLife], as it changes many times per second.
+     * Time that work takes at the endpoint at [now], in relation to the usual: what it stated, and what was learnt of
+     * its speed, which contains the usual time there. The statement loses half of its weight with each
+     * [TimeFactorHalfLife], as it changes many times per second.
      */
-    public fun timeFactorAt(now: ComparableTimeMark): Double {
-        val stated = load?.timeFactor ?: return 1.0
-        val age = loadReportedAt?.let { now - it } ?: return 1.0
-        return stated.pow(HALF.pow(age / TimeFactorHalfLife))
+    public fun slownessAt(now: ComparableTimeMark): Double {
+        val learnt = speed.slownessAt(now)
+        val stated = load?.timeFactor ?: return learnt
+        val age = loadReportedAt?.let { now - it } ?: return learnt
+        val weight = HALF.pow(age / TimeFactorHalfLife)
+        return stated.pow(weight) * learnt.pow(1 - weight)
     }
 
     /** Time at which the last bytes arrived from it. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -284,7 +284,7 @@
         val RefreshPeriod = 1.seconds
 
         /** Short beside the time for which what was learnt of a speed is of use. */
-        val SpeedPeriod = 3.seconds
+        val SpeedPeriod = 1.seconds
 
         /** Largest number of instances with which each reports directly to every other. */
         const val LARGEST_SMALL_FLEET = 8
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/UnevenFleet.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/UnevenFleet.kt
@@ -25,7 +25,8 @@
 /**
  * Replays the load of a fleet under a paused clock: [count] instances whose knowledge of one another is late by 100 to
  * 500 ms, and endpoints that read prompts one after the other. A third of them is 1.7 times slower, a quarter by turns
- * 2.5 times slower for 600 ms, and between two thirds of the time there are 2.2 times as many requests of one kind.
+ * 2.5 times slower for 600 ms, which they state with the first event, and in the middle third of the time there are 2.2
+ * times as many requests of one kind.
  */
 internal class UnevenFleet(
     private val count: Int,
@@ -148,7 +149,7 @@
                 running = running[index],
                 waiting = 0,
                 slots = SLOTS,
-                timeFactor = if (statesTimeFactor) timeFactor(index, now) else null,
+                timeFactor = if (statesTimeFactor) speedOf(index) * timeFactor(index, now) else null,
             )
             endpoint.loadReportedAt = time.markNow()
             placement.expected?.let { instance.estimates.record(it, (now - sentAt).milliseconds, time.markNow()) }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointTest.kt
@@ -58,7 +58,15 @@
         fun `an endpoint that states none counts as usual`() {
             state(timeFactor = null)
             assertFalse(endpoint.statesTimeFactor)
-            assertEquals(1.0, endpoint.timeFactorAt(timeSource.markNow()))
+            assertEquals(1.0, endpoint.slownessAt(timeSource.markNow()))
+        }
+
+        @Test
+        fun `a stated one counts in place of what was learnt, and that counts after a second`() {
+            state(timeFactor = 4.0)
+            repeat(40) { endpoint.speed.record(0.7, timeSource.markNow()) }
+            assertEquals(4.0, endpoint.slownessAt(timeSource.markNow()))
+            assertEquals(0.7, endpoint.slownessAt(timeSource.markNow() + 2.seconds), absoluteTolerance = 0.05)
         }
 
         @Test
@@ -66,9 +74,9 @@
             state(timeFactor = 4.0)
             val start = timeSource.markNow()
             assertTrue(endpoint.statesTimeFactor)
-            assertEquals(4.0, endpoint.timeFactorAt(start))
-            assertEquals(2.0, endpoint.timeFactorAt(start + 300.milliseconds), absoluteTolerance = 0.01)
-            assertTrue(endpoint.timeFactorAt(start + 1.seconds) < 1.2)
+            assertEquals(4.0, endpoint.slownessAt(start))
+            assertEquals(2.0, endpoint.slownessAt(start + 300.milliseconds), absoluteTolerance = 0.01)
+            assertTrue(endpoint.slownessAt(start + 1.seconds) < 1.2)
         }
     }
 }
