One account of the memory that is held for callers

Cause: bodies, fields, requests sent ahead and unread answers were bounded by connection at most. Crowds filled the heap, so that threads ended, and the direct memory, for which the only event loop thread then waited.

Change: IntakeBudget decides for all connections who is read on, who waits, who is refused (503, not run, Retry-After) and whose connection is closed; limits come from heap, direct memory and the machine's settings, each with a key of its own. A declared body gets its memory at its head; bodies are copied together in blocks; requests sent ahead are not decoded before their turn, and not before the last answer has been taken; at most 256 pieces of a connection are decoded in a turn. Connections in all are bounded, those to each address for queries apart. endStream marks a connection that is to close as closing.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.forwarding.endpoints.LimitChange
 import io.quetzalfield.forwarding.http.AnswerReason
+import io.quetzalfield.forwarding.intake.IntakeMetrics
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -63,6 +64,9 @@
     private val evacuatedDomains = Gauge.builder().name("quetzalfield_evacuated_failure_domains")
         .help("Failure domains whose endpoints get nothing by order of the operator").register(registry)
 
+    /** Metrics of what is held for callers. */
+    public val intake: IntakeMetrics = IntakeMetrics(registry)
+
     init {
         CounterWithCallback.builder().name("quetzalfield_log_lines_dropped_total")
             .help("Log lines that were dropped as standard output did not take them in time")
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -99,6 +99,7 @@
         confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
         memberCount = { members.partCount },
         limits = limits,
+        intakeLimits = settings.intakeLimits,
     )
     private val holdRecords = HoldRecords(platform.store)
     private val workExchange =
@@ -137,7 +138,8 @@
         context.isFleetKnown = false
         context.areEvacuationsKnown = false
         DecisionLog.write("start", "incarnation" to incarnation, "address" to settings.callerAddress)
-        val listeners = HttpListeners(group)
+        DecisionLog.write("intake_limits", "limits" to settings.intakeLimits)
+        val listeners = HttpListeners(group, settings.intakeLimits.queryConnections)
         listeners.listenForQueries(settings.readinessAddress, ::answerReadiness)
         settings.directoryAddress?.let { listeners.listenForQueries(it, ::answerDirectory) }
         listeners.listenForQueries(HostPort(settings.callerAddress.host, settings.metricsPort), ::answerMetrics)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterSettings.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterSettings.kt
@@ -1,6 +1,8 @@
 package io.quetzalfield.forwarding
 
 import io.quetzalfield.forwarding.choice.RetryBounds
+import io.quetzalfield.forwarding.intake.CallerIntake
+import io.quetzalfield.forwarding.intake.IntakeLimits
 import io.quetzalfield.model.HostPort
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -19,6 +21,7 @@
  * @property shutdownGrace time between the termination signal and the forced end of the process.
  * @property isCapacityScarce whether callers at times ask for more than the endpoints can do, so that work that is done
  * twice costs other callers their answers.
+ * @property intakeLimits limits on what is held for callers; derived from the bounds of this process if not given.
  * @property addressValidity time for which callers may cache an answer with addresses.
  */
 public data class RouterSettings(
@@ -33,6 +36,9 @@
     val addressValidity: Duration = DefaultAddressValidity,
     val peerAddress: HostPort? = null,
     val isCapacityScarce: Boolean = false,
+    val intakeLimits: IntakeLimits = IntakeLimits.of(
+        CallerIntake.processBounds(memoryBytes = null, descriptors = null),
+    ),
     val retryBounds: RetryBounds = RetryBounds(ratio = 0.1, slack = 10.0, window = 10.seconds),
 ) {
     private companion object {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -228,7 +228,8 @@
         context.bufferedBodyBytes += content.readableBytes()
         bodyBuffer?.writeBytes(content)
         content.release()
-        val exceedsLimit = bufferedBytes > BUFFERED_BODY_LIMIT || context.bufferedBodyBytes > TOTAL_BUFFERED_LIMIT
+        val totalLimit = context.intake.budget.limits.answerBytes
+        val exceedsLimit = bufferedBytes > BUFFERED_BODY_LIMIT || context.bufferedBodyBytes > totalLimit
         if (exceedsLimit) fail("response body exceeds the size limit")
     }
 
@@ -387,9 +388,6 @@
         /** Bytes of a response that is buffered until it is complete; plain services are expected to send less. */
         const val BUFFERED_BODY_LIMIT = 8 * 1024 * 1024
 
-        /** Bytes of such responses of all requests together; well below the memory of a small instance. */
-        const val TOTAL_BUFFERED_LIMIT = 32 * 1024 * 1024
-
         /** Time from the first event of an answer within which a request ends the endpoint, if it does. */
         val StartOfAnswer = 1.seconds
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
@@ -1,25 +1,22 @@
 package io.quetzalfield.forwarding.http
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
-import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
@@ -27,25 +24,37 @@
 import io.netty.util.concurrent.ScheduledFuture
 import io.quetzalfield.forwarding.DecisionLog
 import io.quetzalfield.forwarding.configuration.CallerLimits
+import io.quetzalfield.forwarding.intake.BodyCollector
+import io.quetzalfield.forwarding.intake.FieldsRefused
+import io.quetzalfield.forwarding.intake.IntakeClient
+import io.quetzalfield.forwarding.intake.IntakeRefusal
+import io.quetzalfield.forwarding.intake.IntakeShare
 import io.quetzalfield.forwarding.schedule
-import java.util.Locale
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
-/** A caller's connection. Handles one request at a time and queues pipelined ones. */
+/** A caller's connection. Handles one request at a time; what is sent ahead is not decoded until then. */
 public class CallerConnection(private val context: RoutingContext, private val registry: CallerConnections) :
     ChannelInboundHandlerAdapter(),
-    CallerReply {
+    CallerReply,
+    IntakeClient {
     private lateinit var channelContext: ChannelHandlerContext
+    private lateinit var share: IntakeShare
     private val queue = ArrayDeque<HttpObject>()
     private var message: HttpRequest? = null
-    private var body: CompositeByteBuf? = null
+    private var body: BodyCollector? = null
     private var exchange: Exchange? = null
     private var isKeepAlive = true
     private var isClosing = false
     private var timer: ScheduledFuture<*>? = null
 
+    /** Whether the body waits for memory. */
+    private var isPaused = false
+
+    /** Bytes that have been read and not decoded. */
+    private var aheadBytes = 0
+
     /** Whether a part of a request header has been received; the header timeout runs from its first byte. */
     private var isReadingHeader = false
 
@@ -59,20 +68,32 @@
 
     override val isWritable: Boolean get() = channelContext.channel().isWritable
 
+    override val isAnswering: Boolean get() = exchange != null
+
+    /** Whether nothing is to be decoded before a request has been answered and its answer read, or memory is free. */
+    internal val isHeld: Boolean get() = exchange != null || isPaused || !isWritable
+
+    /** Whether whatever the caller sends is dropped. */
+    internal val isDiscarding: Boolean get() = isClosing
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         channelContext = context
     }
 
     override fun channelActive(context: ChannelHandlerContext) {
         registry.add(this)
+        share = this.context.intake.open(this)
         startIdleTimer()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         registry.remove(this)
         timer?.cancel(false)
+        isClosing = true
+        isPaused = false
         exchange?.cancel()
         exchange = null
+        this.context.intake.close(share)
         body?.release()
         body = null
         queue.forEach(ReferenceCountUtil::release)
@@ -85,7 +106,9 @@
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (isWritable) exchange?.resumeReading()
+        if (!isWritable) return
+        exchange?.resumeReading()
+        this.context.eventLoop.execute(::processQueue)
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -94,11 +117,34 @@
             return
         }
         queue.addLast(message)
-        // Stops reading from a caller that pipelines too far ahead, until its queued requests have been handled.
-        if (exchange != null && queue.size > QUEUED_PART_LIMIT) context.channel().config().isAutoRead = false
+        readQueue()
+    }
+
+    /** Called after each read with the [bytes] that are not decoded; stops reading from a caller that is far ahead. */
+    internal fun onDecoded(bytes: Int, isTurnOver: Boolean) {
+        aheadBytes = bytes
+        updatePending()
+        channelContext.channel().config().isAutoRead =
+            (!isHeld && !isTurnOver) || (!isPaused && bytes <= READ_AHEAD_LIMIT)
+    }
+
+    /** Holds the memory of a header field of [bytes] in the request that is being read. */
+    internal fun onField(bytes: Int): Unit = context.intake.holdField(share, bytes)
+
+    override fun onMemoryGranted() {
+        isPaused = false
+        if (message?.let(HttpUtil::is100ContinueExpected) == true && body?.size == 0) {
+            channelContext.writeAndFlush(continueResponse())
+        }
         processQueue()
     }
 
+    override fun onMemoryRefused(reason: IntakeRefusal) {
+        if (exchange == null && !isClosing) refuse(reason)
+    }
+
+    override fun closeForMemory(): Unit = close()
+
     /** Called on each read; starts the header timeout at the first bytes of a request. */
     internal fun onBytesRead() {
         if (!isIdle || isClosing || isReadingHeader) return
@@ -118,12 +164,17 @@
         exchange?.giveUpForShutdown()
     }
 
+    /** Handles what is queued, and then what has been read and not decoded. */
     private fun processQueue() {
-        while (exchange == null && !isClosing) {
+        readQueue()
+        if (!isHeld && !isClosing) channelContext.pipeline().get(CallerRequestDecoder::class.java)?.decodeOn()
+    }
+
+    private fun readQueue() {
+        while (exchange == null && !isClosing && !isPaused) {
             val next = queue.removeFirstOrNull() ?: break
             read(next)
         }
-        if (queue.size <= QUEUED_PART_LIMIT && !isClosing) channelContext.channel().config().isAutoRead = true
     }
 
     private fun read(part: HttpObject) {
@@ -136,6 +187,8 @@
     }
 
     private fun rejectMalformed(cause: Throwable) = when (cause) {
+        is FieldsRefused -> refuse(IntakeRefusal.FIELDS)
+
         is TooLongHttpHeaderException, is TooLongHttpLineException ->
             reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, AnswerReason.HEADER_TOO_LARGE)
 
@@ -158,29 +211,44 @@
                 AnswerReason.BODY_TOO_LARGE,
             )
 
-            else -> {
-                body = Unpooled.compositeBuffer(BODY_COMPONENT_LIMIT)
-                if (HttpUtil.is100ContinueExpected(request)) channelContext.writeAndFlush(continueResponse())
-            }
+            else -> beginBody(announced, HttpUtil.is100ContinueExpected(request))
         }
     }
 
+    /** Holds the memory for a whole body whose length is [announced], so that it can be completed once it has begun. */
+    private fun beginBody(announced: Long, mustContinue: Boolean) {
+        body = BodyCollector(announced.toInt())
+        if (!holdOrPause(announced)) return
+        if (mustContinue) channelContext.writeAndFlush(continueResponse())
+    }
+
+    private fun holdOrPause(bytes: Long): Boolean {
+        isPaused = bytes > 0 && !context.intake.holdOrAwait(share, bytes)
+        return !isPaused
+    }
+
     private fun readBody(content: HttpContent) {
         val collected = body ?: return content.release().let { }
-        if (collected.readableBytes() + content.content().readableBytes() > limits.bodyBytes) {
+        val bytes = content.content().readableBytes()
+        if (collected.size + bytes > limits.bodyBytes) {
             content.release()
             return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, AnswerReason.BODY_TOO_LARGE)
         }
-        collected.addComponent(true, content.content())
+        val missing = collected.allocatedBytes + collected.bytesToAllocate(bytes) - share.bodyBytes
+        if (!holdOrPause(missing)) return queue.addFirst(content)
+        collected.add(content.content())
+        content.release()
+        context.intake.budget.recordArrival(share, bytes)
         if (content is LastHttpContent) startExchange() else startBodyTimer()
     }
 
     private fun startExchange() {
         timer?.cancel(false)
+        context.intake.budget.recordComplete(share)
         val request = CallerRequest(
             message = checkNotNull(message) { "the body was received before the request head" },
             head = context.headerCodec.decodeRequest(checkNotNull(message)),
-            body = checkNotNull(body) { "the request has no body buffer" },
+            body = checkNotNull(body) { "the request has no body buffer" }.complete(),
         )
         body = null
         val next = Exchange(context, request, this, ::onExchangeFinished).also { exchange = it }
@@ -191,63 +259,58 @@
     private fun onExchangeFinished() {
         exchange = null
         message = null
-        if (!mustClose() && !isClosing) startIdleTimer()
-        // Queued requests start in a new event loop task, not within the end of this exchange.
-        context.eventLoop.execute(::processQueue)
+        context.intake.endRequest(share)
+        when {
+            !channelContext.channel().isActive -> Unit
+            mustClose() || isClosing -> startTimer(limits.idleTimeout * 2, ::close)
+            else -> startIdleTimer()
+        }
+        // Requests sent ahead start in a later turn of the event loop, which reads other connections in between.
+        if (aheadBytes == 0 && queue.isEmpty()) return
+        context.eventLoop.schedule(AheadPause, ::processQueue)
     }
 
     override fun sendComplete(response: HttpResponse, body: ByteBuf) {
-        val whole = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status(), body)
-        copyHeaders(response, whole)
-        if (message?.method() == HttpMethod.HEAD) {
-            response.headers().get(HttpHeaderNames.CONTENT_LENGTH)?.let {
-                whole.headers().set(HttpHeaderNames.CONTENT_LENGTH, it)
-            }
-        } else {
-            HttpUtil.setContentLength(whole, body.readableBytes().toLong())
-        }
-        write(whole)
+        write(wholeResponse(response, body, isToHead = message?.method() == HttpMethod.HEAD))
     }
 
     override fun sendStreamHead(response: HttpResponse) {
-        val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status())
-        copyHeaders(response, head)
-        HttpUtil.setTransferEncodingChunked(head, true)
+        val head = streamHead(response)
         markConnection(head)
         channelContext.write(head)
     }
 
     override fun sendStreamContent(content: ByteBuf) {
-        channelContext.writeAndFlush(DefaultHttpContent(content))
+        countUnread(channelContext.writeAndFlush(DefaultHttpContent(content)))
     }
 
     override fun endStream() {
         val written = channelContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-        if (mustClose()) written.addListener(ChannelFutureListener.CLOSE)
+        if (!mustClose()) return
+        // Nothing that was sent ahead is answered on this connection, so it must not run either.
+        isClosing = true
+        written.addListener(ChannelFutureListener.CLOSE)
     }
 
-    override fun abortStream(): Unit = close()
+    /** Counts what the caller has not read yet, now and when [written] is done. */
+    private fun countUnread(written: ChannelFuture) {
+        updatePending()
+        if (!written.isDone) written.addListener { updatePending() }
+    }
 
-    override fun sendOwn(answer: OwnAnswer) {
-        val text = "${answer.reason.name.lowercase(Locale.ROOT)}\n"
-        val whole = DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(answer.status),
-            Unpooled.copiedBuffer(text, Charsets.UTF_8),
-        )
-        if (answer is OwnAnswer.NotRun && answer.retryAfter != null) {
-            whole.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(answer.retryAfter))
-        }
-        HttpUtil.setContentLength(whole, text.length.toLong())
-        write(whole)
+    private fun updatePending() {
+        val unread = channelContext.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0L
+        if (channelContext.channel().isActive) context.intake.setPending(share, unread + aheadBytes)
     }
 
-    private fun seconds(duration: Duration) =
-        String.format(Locale.ROOT, "%.2f", duration.toDouble(DurationUnit.SECONDS))
+    override fun abortStream(): Unit = close()
+
+    override fun sendOwn(answer: OwnAnswer): Unit = write(ownResponse(answer))
 
     private fun write(response: DefaultFullHttpResponse) {
         markConnection(response)
         val written = channelContext.writeAndFlush(response)
+        countUnread(written)
         if (mustClose()) {
             isClosing = true
             written.addListener(ChannelFutureListener.CLOSE)
@@ -260,18 +323,31 @@
         if (mustClose()) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
+    /** Refuses the request that is being read, which has not run, as there is no memory for it. */
+    private fun refuse(reason: IntakeRefusal) {
+        context.intake.countRefusal(reason)
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE, AnswerReason.CALLERS_PRESSED)
+    }
+
     /** Answers an invalid request and closes the connection: the start of the next request is not known. */
     private fun reject(status: HttpResponseStatus, reason: AnswerReason) {
         isKeepAlive = false
         context.metrics.countOwn(status.code(), reason, Duration.ZERO)
-        DecisionLog.write("rejected", "status" to status.code(), "reason" to reason)
+        val isPressed = reason == AnswerReason.CALLERS_PRESSED
+        if (!isPressed) DecisionLog.write("rejected", "status" to status.code(), "reason" to reason)
         val proof = checkNotNull(RunRecord().proof()) { "a rejected request cannot have been sent" }
-        if (status == HttpResponseStatus.REQUEST_TIMEOUT) {
-            sendOwn(OwnAnswer.NotRun(status.code(), reason, retryAfter = null, proof))
+        if (isPressed || status == HttpResponseStatus.REQUEST_TIMEOUT) {
+            val delay = if (isPressed) PressedRetryDelay + PressedRetryDelay * context.random.nextDouble() else null
+            sendOwn(OwnAnswer.NotRun(status.code(), reason, delay, proof))
         } else {
             sendOwn(OwnAnswer.Denied(status.code(), reason))
         }
         isClosing = true
+        isPaused = false
+        startTimer(limits.idleTimeout, ::close)
+        body?.release()
+        body = null
+        context.intake.endRequest(share)
     }
 
     private fun onReadTimeout() {
@@ -306,63 +382,17 @@
         channelContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
     }
 
-    private fun copyHeaders(from: HttpResponse, to: HttpResponse) {
-        val named = headersNamedByConnection(from.headers())
-        for ((name, value) in from.headers()) {
-            val lower = name.lowercase()
-            if (lower !in ConnectionHeaders && lower !in named) to.headers().add(name, value)
-        }
-    }
+    private companion object {
+        /** Bytes that are read while a request is answered, so that the close of its caller is seen. */
+        const val READ_AHEAD_LIMIT = 16_384
 
-    private fun continueResponse() =
-        DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
+        /** Time between the answer to a request and the start of one that its caller sent ahead. */
+        val AheadPause = 1.milliseconds
 
-    private companion object {
-        /** Queued HTTP objects above which the connection is not read. */
-        const val QUEUED_PART_LIMIT = 64
-        const val BODY_COMPONENT_LIMIT = 1_024
+        /** Callers that are refused for memory retry after this time and a random part of it. */
+        val PressedRetryDelay = 500.milliseconds
 
         /** Longer than the largest allowed body takes on a slow link. */
         val BodyTimeout = 30.seconds
     }
 }
-
-/** Hop-by-hop headers, which are never forwarded; in lower case. */
-public val ConnectionHeaders: Set<String> = setOf(
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-)
-
-/** The headers that a message names in its Connection header as hop-by-hop; in lower case. */
-public fun headersNamedByConnection(headers: HttpHeaders): Set<String> =
-    headers.getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.mapTo(HashSet()) { it.trim().lowercase() }
-
-/** The open connections of callers. Used on the event loop only. */
-public class CallerConnections {
-    private val open = LinkedHashSet<CallerConnection>()
-
-    /** Whether no connection is open. */
-    public val isEmpty: Boolean get() = open.isEmpty()
-
-    internal fun add(connection: CallerConnection) {
-        open += connection
-    }
-
-    internal fun remove(connection: CallerConnection) {
-        open -= connection
-    }
-
-    /** Closes idle connections at once and the others after their current answer. */
-    public fun closeWhenIdle(): Unit = open.toList().forEach(CallerConnection::closeWhenIdle)
-
-    /** Answers all open requests now. */
-    public fun giveUp(): Unit = open.toList().forEach(CallerConnection::giveUp)
-}
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/HttpListeners.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/HttpListeners.kt
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -18,7 +17,6 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
@@ -33,6 +31,10 @@
 private const val QUERY_BODY_LIMIT = 8_192
 private const val QUERY_IDLE_SECONDS = 15L
 
+/** Far longer than the head of a query; short enough for many connections at once. */
+private const val QUERY_HEADER_LIMIT = 4_096
+private const val DEFAULT_QUERY_CONNECTIONS = 64
+
 /** An answer to a query for addresses, readiness or metrics. */
 public class PlainAnswer(
     public val status: Int,
@@ -41,7 +43,10 @@
 )
 
 /** Opens the listening sockets of this process. */
-public class HttpListeners(private val group: EventLoopGroup) {
+public class HttpListeners(
+    private val group: EventLoopGroup,
+    private val queryConnections: Int = DEFAULT_QUERY_CONNECTIONS,
+) {
     /** Accepts callers' requests at [address]. */
     public fun listenForCallers(address: HostPort, context: RoutingContext, connections: CallerConnections): Channel =
         listen(address) { channel ->
@@ -49,23 +54,26 @@
             val headerBytes = (context.configuration.current?.limits?.headerBytes ?: DEFAULT_HEADER_BYTES)
             channel.pipeline().addLast(
                 ReadNotifier(connection),
-                StrictRequestDecoder(headerBytes),
+                CallerRequestDecoder(headerBytes, connection),
                 HttpResponseEncoder(),
                 connection,
             )
         }
 
     /** Answers short requests at [address] by their path and query. A `null` [answer] is sent as status 404. */
-    public fun listenForQueries(address: HostPort, answer: (String) -> PlainAnswer?): Channel =
-        listen(address) { channel ->
+    public fun listenForQueries(address: HostPort, answer: (String) -> PlainAnswer?): Channel {
+        val connections = QueryConnections(queryConnections)
+        return listen(address) { channel ->
+            connections.add(channel)
             channel.pipeline().addLast(
                 IdleStateHandler(0, 0, QUERY_IDLE_SECONDS, TimeUnit.SECONDS),
-                HttpRequestDecoder(),
+                HttpRequestDecoder(HttpDecoderConfig().setMaxHeaderSize(QUERY_HEADER_LIMIT)),
                 HttpResponseEncoder(),
                 HttpObjectAggregator(QUERY_BODY_LIMIT),
                 QueryHandler(answer),
             )
         }
+    }
 
     private fun listen(address: HostPort, initialize: (SocketChannel) -> Unit): Channel = ServerBootstrap()
         .group(group)
@@ -98,33 +106,14 @@
     }
 }
 
-/** Notifies [connection] of each read, including those of an incomplete header. */
-private class ReadNotifier(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
-    override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        connection.onBytesRead()
-        context.fireChannelRead(message)
-    }
-}
-
-/** Rejects a request with both a length and chunked encoding, whose end two parsers may see at different places. */
-private class StrictRequestDecoder(headerBytes: Int) :
-    HttpRequestDecoder(
-        HttpDecoderConfig()
-            .setMaxInitialLineLength(headerBytes)
-            .setMaxHeaderSize(headerBytes)
-            .setMaxChunkSize(CHUNK_LIMIT),
-    ) {
-    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
-        throw IllegalArgumentException("request has both Content-Length and chunked transfer encoding")
-
-    private companion object {
-        const val CHUNK_LIMIT = 65_536
-    }
-}
-
 private class QueryHandler(private val answer: (String) -> PlainAnswer?) :
     SimpleChannelInboundHandler<FullHttpRequest>() {
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+        // A caller that sends queries and does not read the answers would let them pile up.
+        if (!context.channel().isWritable) {
+            context.close()
+            return
+        }
         val plain = if (request.decoderResult().isFailure) PlainAnswer(BAD_REQUEST) else answer(request.uri())
         val found = plain ?: PlainAnswer(NOT_FOUND)
         val body = found.body?.let(Unpooled::wrappedBuffer) ?: Unpooled.EMPTY_BUFFER
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/OwnAnswer.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/OwnAnswer.kt
@@ -22,6 +22,7 @@
     BODY_TOO_LARGE,
     SLOW_REQUEST,
     SHUTTING_DOWN,
+    CALLERS_PRESSED,
 }
 
 /** Evidence that a request has not run and will not run. Created by [RunRecord] only. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -19,6 +19,9 @@
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.fleet.VersionObserver
+import io.quetzalfield.forwarding.intake.CallerIntake
+import io.quetzalfield.forwarding.intake.IntakeBudget
+import io.quetzalfield.forwarding.intake.IntakeLimits
 import io.quetzalfield.model.ServiceId
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -52,7 +55,12 @@
     public val memberCount: () -> Int = { 1 },
     public val limits: EndpointLimits = EndpointLimits(timeSource) { LimitSharers(own = null, all = emptySet()) },
     public val returns: ReturnSchedule = ReturnSchedule(timeSource, random),
+    intakeLimits: IntakeLimits = IntakeLimits.of(CallerIntake.processBounds(memoryBytes = null, descriptors = null)),
 ) {
+    /** What is held for callers, within [intakeLimits]. */
+    public val intake: CallerIntake =
+        CallerIntake(eventLoop, metrics, IntakeBudget(intakeLimits, timeSource) { bufferedBodyBytes.toLong() })
+
     /** Called whenever the work of this instance at an endpoint has changed. */
     public var onWorkChanged: () -> Unit = {}
 
