--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerRequestDecoder.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerRequestDecoder.kt
@@ -16,7 +16,7 @@
 /** Bytes of a piece of a body that is decoded at once. */
 private const val CHUNK_LIMIT = 65_536
 
-/** Pieces of one connection that are decoded before others have their turn; a read has far fewer unless they are tiny. */
+/** Pieces of one connection that are decoded before others have their turn; a read has fewer unless they are tiny. */
 private const val PIECES_PER_TURN = 256
 
 /** Time until a connection whose turn was cut short has another one. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/CallerIntake.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/CallerIntake.kt
@@ -26,7 +26,7 @@
 /** Why a caller was refused, or its connection closed, for the sake of the others. */
 public enum class IntakeRefusal { BODY, STALLED_BODY, FIELDS, UNREAD, CONNECTIONS }
 
-/** Carries out the decisions of an [IntakeBudget]: on the event loop, with log lines at the begin and end of pressure. */
+/** Carries out the decisions of an [IntakeBudget] on the event loop, with log lines when pressure begins and ends. */
 public class CallerIntake(
     private val eventLoop: EventLoop,
     private val metrics: RouterMetrics,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/IntakeBudget.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/IntakeBudget.kt
@@ -47,9 +47,9 @@
  *
  * The load is many bodies at once, of which some stop before their end. Memory is promised to a declared body at its
  * head, so that a body that has begun can always be completed. A body that does not fit waits unread, in order of
- * arrival; each wait ends with the memory or, after [IntakeLimits.pause], with a refusal. While a body waits, those that
- * arrive slower than [IntakeLimits.leastRate] lose their memory. Small bodies and short heads have a part of the memory
- * for themselves, so that large ones do not keep them out.
+ * arrival; each wait ends with the memory or, after [IntakeLimits.pause], with a refusal. While a body waits, those
+ * that arrive slower than [IntakeLimits.leastRate] lose their memory. Small bodies and short heads have a part of the
+ * memory for themselves, so that large ones do not keep them out.
  *
  * @param outsideBytes direct memory that is held for callers elsewhere and counts too.
  */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/IntakeLimits.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/IntakeLimits.kt
@@ -60,7 +60,7 @@
         private const val CONNECTION_PART = 2
         private const val LARGEST_QUERY_CONNECTIONS = 64
 
-        /** Of each 16 descriptors, 7 are for callers, 1 for each address for queries, the rest for endpoints and files. */
+        /** Of each 16 descriptors, 7 are for callers, 1 for each address for queries, the others for endpoints. */
         private const val DESCRIPTOR_PARTS = 16
         private const val CALLER_PARTS = 7
         private const val DEFAULT_LEAST_RATE = 65_536
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/intake/IntakeBudgetTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/intake/IntakeBudgetTest.kt
@@ -138,6 +138,13 @@
             assertEquals(listOf(0L, 0L), listOf(budget.heldBytes, budget.heldFieldBytes))
         }
 
+        private fun holdOrAwait(random: Random, share: IntakeShare): Boolean {
+            val bytes = if (random.nextBoolean()) random.nextLong(1, LARGE) else random.nextLong(1, 2_000)
+            val isHeld = budget.tryHoldBody(share, bytes)
+            if (!isHeld) budget.await(share, bytes)
+            return isHeld
+        }
+
         private fun act(
             random: Random,
             open: ArrayList<IntakeShare>,
@@ -153,13 +160,7 @@
                 return budget.close(share)
             }
             when (random.nextInt(6)) {
-                0, 1 -> {
-                    val bytes = if (random.nextBoolean()) random.nextLong(1, LARGE) else random.nextLong(1, 2_000)
-                    if (!budget.tryHoldBody(share, bytes)) {
-                        budget.await(share, bytes)
-                        waitingSince[share] = step
-                    }
-                }
+                0, 1 -> if (!holdOrAwait(random, share)) waitingSince[share] = step
 
                 2 -> budget.recordArrival(share, random.nextInt(50_000))
 
