A lost connection counts as a crash only once that start of the endpoint has ended

Cause: a loss was confirmed by one connection that the endpoint refused, and a whole request by two losses without any confirmation. Endpoints that reset every call, and refuse connections for a while, made requests be refused at all instances for up to an hour.

Change: LossWatch confirms a loss by the entry (another start, or gone for 2 s), or by a refusal beside other connections that broke at once or an entry that is gone. An answer, or a connection that was taken, under the same start refutes it, and what was refused by it returns everywhere. Losses that are neither count against a request for 10 s, and are not kept or told as its refusal. A refused request is tried again: after 5 s with two crashes, from three on after 5 minutes, then longer; before, admission() had no way to a trial for requests.

Measured: ResettingEndpointsTest failed on the code before: 18 of 20 requests were refused as quarantined after the endpoints answered again; now all 20 are served and none was blamed. CrashLedgerTest, CrashHistoryTest, CrashGuardTest, CrashingRequestTest, PromptPartCrashTest are unchanged and pass.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -49,7 +49,9 @@
     private val suspectedCrashes = Counter.builder().name("quetzalfield_suspected_crashes_total")
         .help("Requests whose endpoint was lost before it had answered them, or as it began to").register(registry)
     private val confirmedCrashes = Counter.builder().name("quetzalfield_confirmed_crashes_total")
-        .help("Losses of endpoints that refused a connection afterwards").register(registry)
+        .help("Losses of endpoints that are known to have ended").register(registry)
+    private val refutedCrashes = Counter.builder().name("quetzalfield_refuted_crashes_total")
+        .help("Losses of endpoints that answered or took a connection afterwards").register(registry)
     private val blamed = Counter.builder().name("quetzalfield_crash_suspects_blamed_total")
         .help("Requests and parts of prompts that are refused as endpoints end by them").labelNames("kind")
         .register(registry)
@@ -134,11 +136,16 @@
         suspectedCrashes.inc()
     }
 
-    /** Counts an endpoint that refused a connection after its loss. */
+    /** Counts an endpoint that is known to have ended after its loss. */
     public fun countConfirmedCrash() {
         confirmedCrashes.inc()
     }
 
+    /** Counts an endpoint that was lost and lives on. */
+    public fun countRefutedCrash() {
+        refutedCrashes.inc()
+    }
+
     /** Counts a part of prompts, or else a request, that is refused from now on. */
     public fun countBlamed(isPart: Boolean) {
         blamed.labelValues(if (isPart) PART else REQUEST).inc()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -82,11 +82,13 @@
         onOpened = metrics::countConnection,
         onUnexpectedBytes = metrics::countUnexpectedBytes,
     )
-    private val crashes = CrashGuard(eventLoop, connections, metrics, timeSource, ::trialRank)
+    private val directory = EndpointDirectory(timeSource)
+    private val crashes =
+        CrashGuard(eventLoop, connections, metrics, timeSource, { directory.findStart(it) }, ::trialRank)
     private val context = RoutingContext(
         eventLoop = eventLoop,
         configuration = ConfigurationHolder(timeSource),
-        endpoints = EndpointDirectory(timeSource),
+        endpoints = directory,
         headerCodec = platform.headers,
         metrics = metrics,
         retryAllowance = RetryAllowance(settings.retryBounds, timeSource) { members.partCount },
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/Blame.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/Blame.kt
@@ -32,9 +32,10 @@
      * When a request may be sent to find out whether endpoints still end by it: later with each trial and with the
      * [rank] of the instance, so that others try only if those before them get no such request or are cut off.
      */
-    fun timeOfTrial(rules: CrashRules, rank: Int = 0): ComparableTimeMark {
+    fun timeOfTrial(suspect: CrashSuspect, rules: CrashRules, rank: Int = 0): ComparableTimeMark {
+        val certain = if (suspect.isPart) rules.certainCrashes else rules.certainRequestCrashes
         val pause = when {
-            endpoints.size < rules.certainCrashes -> rules.doubtfulPause
+            endpoints.size < certain -> rules.doubtfulPause
             wasAnswered -> rules.answeredCertainPause
             else -> rules.certainPause
         }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashGuard.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashGuard.kt
@@ -16,10 +16,11 @@
 import kotlin.time.TimeSource
 
 /**
- * Refuses requests that make endpoints end. Collects the evidence of this instance for a [CrashLedger], and confirms
- * the loss of an endpoint by a connection that it refuses: a link that is cut, or connections that are reset, close
- * connections too. Used on the event loop only.
+ * Refuses requests that make endpoints end. Collects the evidence of this instance for a [CrashLedger], and watches
+ * endpoints after a loss: a link that is cut, or calls that are reset, close connections too. Used on the event loop
+ * only.
  *
+ * @param endpointOf returns the endpoint with a start, `null` if that is not its present one.
  * @param trialRank place of this instance among those that may try a refused part again, 0 for the first.
  */
 public class CrashGuard(
@@ -27,10 +28,13 @@
     private val connections: EndpointConnections,
     private val metrics: RouterMetrics,
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    private val endpointOf: (RunnerId) -> Endpoint? = { null },
     trialRank: (CrashSuspect) -> Int = { 0 },
 ) {
-    private val ledger = CrashLedger(timeSource, listener = Listener(), trialRank = trialRank)
-    private val checks = HashSet<RunnerId>()
+    private val rules = CrashRules()
+    private val ledger = CrashLedger(timeSource, rules, Listener(), trialRank)
+    private val watches = LinkedHashMap<RunnerId, Watched>()
+    private var isWatchScheduled = false
     private val refusalListeners = LinkedHashSet<() -> Unit>()
     private var scheduledDecision: ScheduledFuture<*>? = null
     private var scheduledAt: ComparableTimeMark? = null
@@ -53,17 +57,25 @@
         refusalListeners -= listener
     }
 
-    /** Records that the connection for [candidate] to [endpoint] was lost. */
-    internal fun recordLoss(endpoint: Endpoint, candidate: CrashCandidate) {
+    /** Records that the connection for [candidate] to [endpoint], opened at [openedAt], was lost. */
+    internal fun recordLoss(endpoint: Endpoint, candidate: CrashCandidate, openedAt: ComparableTimeMark? = null) {
         metrics.countSuspectedCrash()
+        openedAt?.let { recordAlive(endpoint, it) }
         ledger.recordLoss(endpoint.startId, candidate)
-        if (ledger.isUnconfirmed(endpoint.startId) && checks.add(endpoint.startId)) {
-            check(endpoint, endpoint.startId)
-        }
+        watch(endpoint, timeSource.markNow(), candidate.hasBegun)
         scheduleDecision()
         tellNews()
     }
 
+    /** Records that [endpoint] has answered a request that was sent, or taken a connection, at [since]. */
+    internal fun recordAlive(endpoint: Endpoint, since: ComparableTimeMark) {
+        if (ledger.isEmpty || !ledger.recordAlive(endpoint.startId, since)) return
+        watches -= endpoint.startId
+        metrics.countRefutedCrash()
+        DecisionLog.write("crash_refuted", "endpoint" to endpoint)
+        tellNews()
+    }
+
     /** Records that an endpoint began at [startedAt] to answer a request with [parts] and did not end by it. */
     internal fun recordAnswer(parts: List<String>, startedAt: ComparableTimeMark) {
         if (parts.isEmpty()) return
@@ -95,6 +107,12 @@
         } finally {
             teller = null
         }
+        val now = timeSource.markNow()
+        for (report in news.losses) {
+            if (report.isAlive) watches -= report.endpoint
+            val age = report.ageMilliseconds.age()
+            if (age < rules.confirmationTime) endpointOf(report.endpoint)?.let { watch(it, now - age, isTold = true) }
+        }
         scheduleDecision()
         tellNews()
     }
@@ -111,17 +129,69 @@
         return ledger.ownDecisions()
     }
 
-    private fun check(endpoint: Endpoint, start: RunnerId) {
-        connections.probe(endpoint.description.address) { failure ->
-            checks -= start
-            if (failure == ConnectFailure.REFUSED) confirm(endpoint, start)
+    private class Watched(
+        val endpoint: Endpoint,
+        val lostAt: ComparableTimeMark,
+        val loss: LossWatch,
+        val isTold: Boolean,
+    ) {
+        var probes = 0
+    }
+
+    private fun watch(
+        endpoint: Endpoint,
+        lostAt: ComparableTimeMark,
+        callHadBegun: Boolean = false,
+        isTold: Boolean = false,
+    ) {
+        val start = endpoint.startId
+        if (start in watches || !ledger.isUnconfirmed(start)) return
+        val watched = Watched(endpoint, lostAt, LossWatch(endpoint, lostAt, rules, callHadBegun), isTold)
+        watches[start] = watched
+        if (!isTold || watched.loss.isDoubtful(traceOf(watched))) probe(watched)
+        scheduleWatches()
+    }
+
+    private fun traceOf(watched: Watched) = connections.traceOf(watched.endpoint.description.address, watched.lostAt)
+
+    private fun probe(watched: Watched) {
+        watched.probes++
+        connections.probe(watched.endpoint.description.address) { failure ->
+            watched.loss.isRefusing = failure == ConnectFailure.REFUSED
+            if (watched.loss.isRefusing) judge(watched)
         }
     }
 
-    private fun confirm(endpoint: Endpoint, start: RunnerId) {
-        DecisionLog.write("crash_confirmed", "endpoint" to endpoint)
-        metrics.countConfirmedCrash()
-        ledger.confirm(start)
+    private fun scheduleWatches() {
+        if (isWatchScheduled || watches.isEmpty()) return
+        isWatchScheduled = true
+        eventLoop.schedule(WatchPeriod) {
+            isWatchScheduled = false
+            for (watched in watches.values.toList()) {
+                if (watched.probes < MAXIMUM_PROBES && watched.loss.isDoubtful(traceOf(watched))) probe(watched)
+                judge(watched)
+            }
+            scheduleWatches()
+        }
+    }
+
+    private fun judge(watched: Watched) {
+        val start = watched.loss.start
+        if (watches[start] !== watched) return
+        val verdict = watched.loss.verdict(timeSource.markNow(), traceOf(watched))
+        if (verdict == LossVerdict.OPEN) return
+        if (verdict != LossVerdict.BROKEN_OFF) watches -= start
+        if (verdict != LossVerdict.UNDECIDED) confirm(watched, isCertain = verdict == LossVerdict.ENDED)
+    }
+
+    private fun confirm(watched: Watched, isCertain: Boolean) {
+        val start = watched.loss.start
+        if (ledger.isUnconfirmed(start)) {
+            DecisionLog.write("crash_confirmed", "endpoint" to start.value, "by_entry" to isCertain)
+            metrics.countConfirmedCrash()
+        }
+        // All see the entry; the one that lost a call there tells it to those that do not.
+        ledger.confirm(start, isCertain, isTold = !(isCertain && watched.isTold))
         scheduleDecision()
         tellNews()
     }
@@ -176,5 +246,11 @@
     private companion object {
         /** Combines the reports that all instances send on the loss of one endpoint. */
         val ShortestDecisionPause = 10.milliseconds
+
+        /** Connections to one endpoint after a loss; one that ends may still accept the first. */
+        const val MAXIMUM_PROBES = 3
+
+        /** Short compared with the time after which an entry shows the end of its process. */
+        val WatchPeriod = 200.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
@@ -6,27 +6,6 @@
 import kotlin.time.Duration
 import kotlin.time.TimeSource
 
-/** Whether a request may be sent to an endpoint. */
-internal sealed interface CrashAdmission {
-    /** Nothing is known against the request. */
-    data object Allowed : CrashAdmission
-
-    /** The request is refused because of [suspect]. */
-    data class Refused(val suspect: CrashSuspect) : CrashAdmission
-
-    /** The request is refused because of [suspect] but may be sent once, to find out whether that still holds. */
-    data class Trial(val suspect: CrashSuspect) : CrashAdmission
-}
-
-/** Receives the decisions of a [CrashLedger]. */
-internal interface CrashListener {
-    /** Called when requests with [suspect] are refused from now on; the last of [endpoints] ended [age] ago by it. */
-    fun onBlamed(suspect: CrashSuspect, endpoints: Collection<RunnerId>, age: Duration, isLearned: Boolean)
-
-    /** Called when requests with [suspect] are no longer refused. */
-    fun onCleared(suspect: CrashSuspect, reason: String)
-}
-
 /**
  * Decides which requests are refused because they make the endpoints end that answer them.
  *
@@ -46,13 +25,9 @@
     private val listener: CrashListener = NoListener,
     private val trialRank: (CrashSuspect) -> Int = { 0 },
 ) {
-    /** In the order of their times. */
-    private val losses = ArrayList<EndpointLoss>()
-    private val answeredParts = RecentMap<String, ComparableTimeMark>(MAXIMUM_ANSWERED)
-    private val answeredRequests = RecentMap<RequestFingerprint, ComparableTimeMark>(MAXIMUM_ANSWERED)
-
-    /** Newest answers with a part that all instances know of. */
-    private val sharedAnswers = RecentMap<String, ComparableTimeMark>(MAXIMUM_ANSWERED)
+    private val losses = LossRecords(rules)
+    private val answers = PartAnswers()
+    private val answeredRequests = RecentMap<RequestFingerprint, ComparableTimeMark>(PartAnswers.MAXIMUM_ANSWERED)
     private val blames = LinkedHashMap<CrashSuspect, Blame>()
 
     /** Endpoints because of which a suspect is not blamed any more. */
@@ -62,11 +37,11 @@
 
     /** The part that is decided on next, as soon as answers had time to clear it. */
     private var settlingPart: String? = null
-    private val attribution = PartAttribution(rules, answeredParts::get)
+    private val attribution = PartAttribution(rules, answers::answeredAt)
     private val outbox = CrashOutbox(timeSource)
 
     /** Whether nothing is recorded that could concern a request. */
-    val isEmpty: Boolean get() = losses.isEmpty() && blames.isEmpty()
+    val isEmpty: Boolean get() = losses.all.isEmpty() && blames.isEmpty()
 
     /** Whether [takeNews] would return any. */
     val hasNews: Boolean get() = outbox.hasNews
@@ -85,11 +60,11 @@
         }
 
     /** Whether [endpoint] is recorded as lost and its loss is not confirmed yet. */
-    fun isUnconfirmed(endpoint: RunnerId): Boolean = newestLoss(endpoint)?.isConfirmed == false
+    fun isUnconfirmed(endpoint: RunnerId): Boolean = losses.newest(endpoint)?.isOpen == true
 
     /** Records that the connection for [candidate] to [endpoint] was lost. */
     fun recordLoss(endpoint: RunnerId, candidate: CrashCandidate) {
-        val loss = lossOf(endpoint, timeSource.markNow())
+        val loss = losses.add(endpoint, timeSource.markNow())
         if (loss.add(candidate)) {
             outbox.addLoss(loss, candidate)
             isDecisionDue = isDecisionDue || loss.isConfirmed
@@ -97,11 +72,37 @@
         offerAnswers(candidate.parts)
     }
 
-    /** Records that [endpoint] refuses connections after its loss. */
-    fun confirm(endpoint: RunnerId) {
-        val loss = newestLoss(endpoint)?.takeUnless(EndpointLoss::isConfirmed) ?: return
-        loss.isConfirmed = true
-        outbox.addConfirmation(loss)
+    /**
+     * Records that [endpoint] has ended after its loss. [isCertain] if its entry shows that, so that nothing
+     * contradicts it. The others are told if [isTold].
+     */
+    fun confirm(endpoint: RunnerId, isCertain: Boolean = false, isTold: Boolean = true) {
+        val loss = losses.newest(endpoint) ?: return
+        if (!loss.confirm(isCertain)) return
+        if (isTold) outbox.addJudgement(loss)
+        isDecisionDue = true
+    }
+
+    /**
+     * Records that [endpoint] has answered a request that was sent, or taken a connection that was opened, at [since].
+     * What it lost before that does not count. Returns whether that changes anything.
+     */
+    fun recordAlive(endpoint: RunnerId, since: ComparableTimeMark): Boolean {
+        val refuted = losses.all.filter { it.endpoint == endpoint && since - it.at >= rules.reportDelay }
+            .filter { it.refute(since) }
+        refuted.forEach(outbox::addJudgement)
+        if (refuted.isNotEmpty()) withdrawRefuted(endpoint)
+        return refuted.isNotEmpty()
+    }
+
+    /** Clears what is refused because of [endpoint] if too few others remain. */
+    private fun withdrawRefuted(endpoint: RunnerId) {
+        for ((suspect, blame) in blames.entries.toList()) {
+            if (!blame.endpoints.remove(endpoint)) continue
+            cleared[suspect] = cleared[suspect].orEmpty() + endpoint
+            val needed = if (suspect.isPart) rules.partCrashes else rules.requestCrashes
+            if (blame.endpoints.size < needed) clear(suspect, "endpoints live on")
+        }
         isDecisionDue = true
     }
 
@@ -125,11 +126,12 @@
         if (suspects.isNotEmpty()) return admissionOf(suspects)
         val fingerprint = request()
         val suspect = CrashSuspect.ofRequest(fingerprint)
-        if (suspect !in blames) {
-            val evidence = lossesOf(fingerprint)
-            if (evidence.sumOf { it.requestWeight(fingerprint) } < requestThreshold) return CrashAdmission.Allowed
-            blame(suspect, evidence)
-        }
+        if (suspect in blames) return admissionOf(listOf(suspect))
+        val evidence = lossesOf(fingerprint)
+        if (evidence.sumOf { it.requestWeight(fingerprint) } < requestThreshold) return CrashAdmission.Allowed
+        // Until it is known whether the endpoints ended, the request waits, and nothing is told or kept.
+        val confirmed = evidence.filter(EndpointLoss::isConfirmed)
+        if (confirmed.sumOf { it.requestWeight(fingerprint) } >= requestThreshold) blame(suspect, confirmed)
         return CrashAdmission.Refused(suspect)
     }
 
@@ -145,7 +147,7 @@
         addToBlames()
         while (true) {
             val now = timeSource.markNow()
-            val unexplained = losses.filter { it.isConfirmed && now - it.at < rules.partWindow && !isExplained(it) }
+            val unexplained = losses.all.filter { it.isConfirmed && now - it.at < rules.partWindow && !isExplained(it) }
             if (unexplained.size < rules.partCrashes) return qualifiedSince.clear()
             val qualified = attribution.qualified(unexplained).filter { CrashSuspect.ofPart(it) !in blames }
             qualifiedSince.keys.retainAll(qualified.toSet())
@@ -162,14 +164,12 @@
         }
     }
 
-    private fun wasAnswered(part: String) = part in answeredParts
-
-    private fun wasAnswered(suspect: CrashSuspect) = wasAnswered(suspect.id)
+    private fun wasAnswered(suspect: CrashSuspect) = answers.wasAnswered(suspect.id)
 
     private fun isSettled(part: String) = timeUntilSettled(part) <= Duration.ZERO
 
     private fun timeUntilSettled(part: String): Duration {
-        val settling = if (wasAnswered(part)) rules.answeredSettling else rules.settling
+        val settling = if (answers.wasAnswered(part)) rules.answeredSettling else rules.settling
         return qualifiedSince.getValue(part) + settling - timeSource.markNow()
     }
 
@@ -179,18 +179,18 @@
         news.proofs.forEach { proof ->
             val startedAt = now - proof.ageMilliseconds.age()
             learnAnswer(proof.part, startedAt)
-            sharedAnswers.raise(proof.part, startedAt)
+            answers.recordShared(proof.part, startedAt)
         }
         news.losses.forEach { learn(it, now) }
         news.blames.forEach { learn(it, now) }
     }
 
     private fun learn(report: LossReport, now: ComparableTimeMark) {
-        val loss = lossOf(report.endpoint, now - report.ageMilliseconds.age(), report.candidates)
+        val loss = losses.add(report.endpoint, now - report.ageMilliseconds.age(), report.candidates)
         val added = report.candidates.filter(loss::add)
         added.forEach { offerAnswers(it.parts) }
-        val isNewlyConfirmed = report.isConfirmed && !loss.isConfirmed
-        loss.isConfirmed = loss.isConfirmed || report.isConfirmed
+        if (report.isAlive && loss.refute(now)) withdrawRefuted(report.endpoint)
+        val isNewlyConfirmed = (report.isConfirmed || report.hasEnded) && loss.confirm(report.hasEnded)
         if (isNewlyConfirmed || (loss.isConfirmed && added.isNotEmpty())) isDecisionDue = true
     }
 
@@ -250,7 +250,7 @@
     }
 
     private fun learnAnswer(part: String, startedAt: ComparableTimeMark) {
-        answeredParts.raise(part, startedAt)
+        answers.record(part, startedAt)
         val suspect = CrashSuspect.ofPart(part)
         val blame = blames[suspect] ?: return
         if (startedAt > blame.at) clear(suspect, "answered")
@@ -259,27 +259,20 @@
     /** Tells the others of answers with those of [parts] that they may suspect. */
     private fun offerAnswers(parts: List<String>) {
         for (part in parts) {
-            val answeredAt = answeredParts[part]
-            if (answeredAt == null || !isNewsAbout(part, answeredAt)) continue
-            sharedAnswers[part] = answeredAt
+            val lastLoss = losses.all.lastOrNull { part in it.parts } ?: continue
+            val answeredAt = answers.newsAbout(part, lastLoss.at) ?: continue
+            answers.recordShared(part, answeredAt)
             outbox.addProof(part, answeredAt)
         }
     }
 
-    /** Whether an answer at [answeredAt] may clear [part] of a loss for which the others know of none. */
-    private fun isNewsAbout(part: String, answeredAt: ComparableTimeMark): Boolean {
-        val lastLoss = losses.lastOrNull { part in it.parts } ?: return false
-        val sharedAt = sharedAnswers[part] ?: return true
-        return sharedAt < lastLoss.at && answeredAt > sharedAt
-    }
-
     private fun admissionOf(suspects: List<CrashSuspect>): CrashAdmission {
         val now = timeSource.markNow()
         val suspect = suspects.first()
         val blame = blames.getValue(suspect)
         blame.refusedAt = now
-        if (suspects.size > 1 || blame.timeOfTrial(rules) > now) return CrashAdmission.Refused(suspect)
-        if (blame.timeOfTrial(rules, trialRank(suspect)) > now) return CrashAdmission.Refused(suspect)
+        if (suspects.size > 1 || blame.timeOfTrial(suspect, rules) > now) return CrashAdmission.Refused(suspect)
+        if (blame.timeOfTrial(suspect, rules, trialRank(suspect)) > now) return CrashAdmission.Refused(suspect)
         blame.recordTrial(now)
         outbox.addDecision(suspect)
         return CrashAdmission.Trial(suspect)
@@ -307,13 +300,12 @@
         listener.onCleared(suspect, reason)
     }
 
-    /** Adds losses that requests with a refused part have caused since, as requests were still under way. */
+    /** Adds losses that what is refused has caused since, by requests that were under way or by trials. */
     private fun addToBlames() {
         for ((suspect, blame) in blames) {
-            if (!suspect.isPart) continue
-            for (loss in losses) {
+            for (loss in losses.all) {
                 val isNew = loss.isConfirmed && loss.at > blame.at && loss.endpoint !in blame.endpoints
-                if (!isNew || !loss.fullWeightOf(suspect.id)) continue
+                if (!isNew || !loss.fullWeightOf(suspect)) continue
                 blame.add(loss.endpoint)
                 blame.at = loss.at
                 outbox.addDecision(suspect)
@@ -324,7 +316,7 @@
     /** Clears requests that are refused because of losses that a refused part explains. */
     private fun withdrawExplained() {
         for (suspect in blames.keys.filterNot(CrashSuspect::isPart)) {
-            val known = blames.getValue(suspect).endpoints.mapNotNull(::newestLoss)
+            val known = blames.getValue(suspect).endpoints.mapNotNull(losses::newest)
             if (known.isNotEmpty() && known.any(::isExplained)) clear(suspect, "explained by a part of its prompt")
         }
     }
@@ -334,10 +326,10 @@
      * requests with a fatal one have in common with others.
      */
     private fun withdrawRedundant() {
-        val confirmed = losses.filter(EndpointLoss::isConfirmed)
+        val confirmed = losses.all.filter(EndpointLoss::isConfirmed)
         val explained = blames.keys.filter(CrashSuspect::isPart)
             .associateWithTo(LinkedHashMap()) { suspect ->
-                confirmed.filterTo(HashSet()) { it.fullWeightOf(suspect.id) }
+                confirmed.filterTo(HashSet()) { it.fullWeightOf(suspect) }
             }
         for ((suspect, own) in explained.entries.sortedBy { it.value.size }) {
             val others = explained.filterKeys { it != suspect }.values.flatMapTo(HashSet()) { it }
@@ -352,53 +344,38 @@
 
     private fun CrashCandidate.hasBlamedPart() = parts.any { CrashSuspect.ofPart(it) in blames }
 
-    private fun EndpointLoss.fullWeightOf(part: String): Boolean =
-        all.any { part in it.parts && weightOf(it) == EndpointLoss.FULL_WEIGHT }
+    private fun EndpointLoss.fullWeightOf(suspect: CrashSuspect): Boolean = all.any {
+        val holds = if (suspect.isPart) suspect.id in it.parts else it.request.value == suspect.id
+        holds && weightOf(it) == EndpointLoss.FULL_WEIGHT
+    }
 
     /** The losses since the last answer to [request] that it may have caused and that nothing else explains. */
     private fun lossesOf(request: RequestFingerprint): List<EndpointLoss> {
         val answeredAt = answeredRequests[request]
-        return losses.filter { loss ->
+        return losses.all.filter { loss ->
             loss.find(request) != null && (answeredAt == null || loss.at > answeredAt) && !isExplained(loss)
         }
     }
 
-    /** A request that had begun may have lost only its connection, unless the loss of the endpoint is confirmed. */
+    /**
+     * A request that had begun may have lost only its connection, unless the loss of the endpoint is confirmed. One
+     * that had not counts for as long as it may still be confirmed.
+     */
     private fun EndpointLoss.requestWeight(request: RequestFingerprint): Int {
         val candidate = find(request) ?: return 0
         return when {
             isConfirmed -> weightOf(candidate)
-            candidate.hasBegun -> 0
+            !isOpen || candidate.hasBegun || timeSource.markNow() - at >= rules.confirmationTime -> 0
             else -> EndpointLoss.FULL_WEIGHT
         }
     }
 
     private val requestThreshold: Int get() = rules.requestCrashes * EndpointLoss.FULL_WEIGHT
 
-    private fun EndpointLoss.holdsAll(candidates: List<CrashCandidate>) = candidates.all { find(it.request) != null }
-
-    private fun newestLoss(endpoint: RunnerId): EndpointLoss? = losses.lastOrNull { it.endpoint == endpoint }
-
-    /** The loss of [endpoint] at [at]. One with the same [candidates] is the same, reported with a wrong age. */
-    private fun lossOf(
-        endpoint: RunnerId,
-        at: ComparableTimeMark,
-        candidates: List<CrashCandidate> = emptyList(),
-    ): EndpointLoss {
-        val ofEndpoint = losses.filter { it.endpoint == endpoint }
-        val known = ofEndpoint.lastOrNull { (at - it.at).absoluteValue < rules.sameLoss }
-            ?: ofEndpoint.lastOrNull { candidates.isNotEmpty() && it.holdsAll(candidates) }
-        if (known != null) return known
-        if (losses.size >= MAXIMUM_LOSSES) losses.remove(losses.firstOrNull { !it.isConfirmed } ?: losses.first())
-        val loss = EndpointLoss(endpoint, at)
-        losses.add(losses.indexOfLast { it.at <= at } + 1, loss)
-        return loss
-    }
-
     /** Removes what is too old to count; refusals that have expired are cleared. */
     fun removeExpired() {
         val now = timeSource.markNow()
-        losses.removeAll { now - it.at >= rules.retention }
+        losses.removeExpired(now)
         val expired = blames.filter { (suspect, blame) ->
             val lastSeen = maxOf(blame.at, blame.refusedAt?.takeIf { suspect.isPart } ?: blame.at)
             now - lastSeen >= rules.retention
@@ -406,23 +383,7 @@
         expired.keys.forEach { clear(it, "expired") }
     }
 
-    private object NoListener : CrashListener {
-        override fun onBlamed(
-            suspect: CrashSuspect,
-            endpoints: Collection<RunnerId>,
-            age: Duration,
-            isLearned: Boolean,
-        ) = Unit
-
-        override fun onCleared(suspect: CrashSuspect, reason: String) = Unit
-    }
-
     private companion object {
-        /** More than end in a series before its cause is refused; about 400 KB with all their requests. */
-        const val MAXIMUM_LOSSES = 64
-
-        /** Parts that are in use at a time; about 150 bytes each. */
-        const val MAXIMUM_ANSWERED = 4_096
         const val MAXIMUM_BLAMES = 256
 
         /** Decisions of each kind that are told again and again; more would fill the links of a large fleet. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashNews.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashNews.kt
@@ -21,7 +21,9 @@
  * The loss of one start of an endpoint, as one instance has seen it.
  *
  * @property endpoint the start that was lost.
- * @property isConfirmed whether the endpoint has refused a connection since.
+ * @property isConfirmed whether the endpoint has broken off its other connections, too, and refuses new ones.
+ * @property hasEnded whether its entry shows that it has ended.
+ * @property isAlive whether it has answered a request or taken a connection since.
  */
 @Serializable
 internal data class LossReport(
@@ -29,6 +31,8 @@
     val ageMilliseconds: Long,
     val isConfirmed: Boolean = false,
     val candidates: List<CrashCandidate> = emptyList(),
+    val hasEnded: Boolean = false,
+    val isAlive: Boolean = false,
 )
 
 /** States that an endpoint answered a request with [part]; the age is that of the start of the answer. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashOutbox.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashOutbox.kt
@@ -12,9 +12,11 @@
     private class OwnLoss(val loss: EndpointLoss) {
         val candidates = mutableListOf<CrashCandidate>()
         val unsent = mutableListOf<CrashCandidate>()
-        var isConfirmed = false
-        var isConfirmationUnsent = false
-        val isUnsent: Boolean get() = unsent.isNotEmpty() || isConfirmationUnsent
+
+        /** Whether this instance itself has found that the endpoint ended, or that it lives on. */
+        var isJudged = false
+        var isJudgementUnsent = false
+        val isUnsent: Boolean get() = unsent.isNotEmpty() || isJudgementUnsent
     }
 
     private val ownLosses = mutableListOf<OwnLoss>()
@@ -30,10 +32,11 @@
         own.unsent += candidate
     }
 
-    fun addConfirmation(loss: EndpointLoss) {
+    /** Adds that this instance has found whether the endpoint of [loss] ended. */
+    fun addJudgement(loss: EndpointLoss) {
         val own = ownLossOf(loss)
-        own.isConfirmed = true
-        own.isConfirmationUnsent = true
+        own.isJudged = true
+        own.isJudgementUnsent = true
     }
 
     fun addProof(part: String, startedAt: ComparableTimeMark) {
@@ -54,7 +57,7 @@
         )
         for (own in changed) {
             own.unsent.clear()
-            own.isConfirmationUnsent = false
+            own.isJudgementUnsent = false
         }
         proofs.clear()
         decisions.clear()
@@ -67,8 +70,14 @@
         return ownLosses.map { it.report(it.candidates.toList()) }
     }
 
-    private fun OwnLoss.report(candidates: List<CrashCandidate>) =
-        LossReport(loss.endpoint, age(loss.at), isConfirmed, candidates)
+    private fun OwnLoss.report(candidates: List<CrashCandidate>) = LossReport(
+        endpoint = loss.endpoint,
+        ageMilliseconds = age(loss.at),
+        isConfirmed = isJudged && loss.isConfirmed,
+        candidates = candidates,
+        hasEnded = isJudged && loss.isCertain,
+        isAlive = isJudged && loss.isRefuted,
+    )
 
     private fun age(mark: ComparableTimeMark): Long = (timeSource.markNow() - mark).inWholeMilliseconds
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashRules.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashRules.kt
@@ -15,6 +15,9 @@
  * another reason, every part that is in use shares the losses until the next answer.
  * @property certainCrashes crashes from which on a part is tried again only after [certainPause], or
  * [answeredCertainPause] if requests with it were answered before.
+ * @property certainRequestCrashes crashes from which on a request is tried again only after [certainPause].
+ * @property confirmationTime time after a loss in which the entry of an endpoint that ended shows that.
+ * @property reportDelay time by which the reported time of a loss may be too early.
  * @property partWindow time within which the crashes count together against a part.
  * @property settling time between sufficient evidence and a decision, in which answers reported by others may arrive.
  * @property sameLoss time within which losses of one start of an endpoint are one.
@@ -32,6 +35,9 @@
     val answeredPartCrashes: Int = 4,
     val answeredPartSpan: Duration = 1.seconds,
     val certainCrashes: Int = 5,
+    val certainRequestCrashes: Int = 3,
+    val confirmationTime: Duration = 10.seconds,
+    val reportDelay: Duration = 200.milliseconds,
     val partWindow: Duration = 10.minutes,
     val settling: Duration = 250.milliseconds,
     val answeredSettling: Duration = 1.seconds,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/EndpointLoss.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/EndpointLoss.kt
@@ -8,8 +8,42 @@
 internal class EndpointLoss(val endpoint: RunnerId, val at: ComparableTimeMark) {
     private val candidates = LinkedHashMap<RequestFingerprint, CrashCandidate>()
 
-    /** Whether the endpoint refused connections afterwards. A loss that is not confirmed may be a cut connection. */
+    /** Whether the endpoint is known to have ended. A loss that is not confirmed may be a cut connection. */
     var isConfirmed: Boolean = false
+        private set
+
+    /** Whether its entry shows that it has ended. */
+    var isCertain: Boolean = false
+        private set
+
+    /** Time at which the endpoint was alive after the loss; `null` while it was not seen to be. */
+    private var aliveAt: ComparableTimeMark? = null
+
+    /** Whether the endpoint is known to have lived on. */
+    val isRefuted: Boolean get() = aliveAt != null && !isCertain
+
+    /** Whether the loss is neither confirmed nor refuted. */
+    val isOpen: Boolean get() = !isConfirmed && aliveAt == null
+
+    /** Records that the endpoint has ended, and returns whether that is new. */
+    fun confirm(isCertain: Boolean): Boolean {
+        if (!isCertain && aliveAt != null) return false
+        val isNew = !isConfirmed || (isCertain && !this.isCertain)
+        isConfirmed = true
+        this.isCertain = this.isCertain || isCertain
+        return isNew
+    }
+
+    /** Records that the endpoint was alive at [at], after the loss, and returns whether that is new. */
+    fun refute(at: ComparableTimeMark): Boolean {
+        if (isCertain || aliveAt != null) return false
+        aliveAt = at
+        isConfirmed = false
+        return true
+    }
+
+    /** Whether the endpoint was alive between this loss and [at]. */
+    fun isRefutedBefore(at: ComparableTimeMark): Boolean = aliveAt.let { it != null && it <= at }
 
     /** Parts of the prompts of all candidates. */
     val parts = HashSet<String>()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectory.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectory.kt
@@ -1,6 +1,7 @@
 package io.quetzalfield.forwarding.endpoints
 
 import io.quetzalfield.model.FailureDomainId
+import io.quetzalfield.model.RunnerId
 import io.quetzalfield.model.ServiceId
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
@@ -33,6 +34,10 @@
     /** Returns the endpoint [id]; `null` when it is not known. */
     public fun find(id: EndpointId): Endpoint? = endpoints[id]
 
+    /** Returns the endpoint whose present start is [start]; `null` when there is none. */
+    public fun findStart(start: RunnerId): Endpoint? =
+        find(EndpointId(start.value.substringBeforeLast('@')))?.takeIf { it.startId == start }
+
     /** Adds or updates an endpoint from its entry. */
     public fun update(description: EndpointDescription): EndpointChange {
         val known = endpoints[description.id]
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -159,6 +159,7 @@
         }
         this.response = response
         responseHead = decoded
+        statements.recordAlive(decoded, sentAt)
         statements.recordLimit(decoded, lastActivity)
         when {
             // It may repeat a response to an earlier request.
@@ -350,7 +351,7 @@
         )
         connection.abandon()
         endpoint.recordFailure(context.timeSource.markNow())
-        end(AttemptOutcome.Broken(if (isConnectionLost) crashCandidate() else null))
+        end(AttemptOutcome.Broken(if (isConnectionLost) crashCandidate() else null, connection.openedAt))
     }
 
     /** A request that makes endpoints end does so as they begin to answer it. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/AttemptOutcome.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/AttemptOutcome.kt
@@ -5,6 +5,7 @@
 import io.quetzalfield.forwarding.choice.FirstAnswer
 import io.quetzalfield.forwarding.crashes.CrashCandidate
 import io.quetzalfield.model.ModelId
+import kotlin.time.ComparableTimeMark
 
 /** How one attempt ended. */
 internal sealed interface AttemptOutcome {
@@ -17,8 +18,11 @@
     /** The endpoint exceeded the silence limit, and the request may be sent to another endpoint. */
     data object Silent : AttemptOutcome
 
-    /** The answer was incomplete or invalid; [candidate] is set if the request may have made the endpoint end. */
-    data class Broken(val candidate: CrashCandidate?) : AttemptOutcome
+    /**
+     * The answer was incomplete or invalid; [candidate] is set if the request may have made the endpoint end. Its
+     * connection was opened at [openedAt].
+     */
+    data class Broken(val candidate: CrashCandidate?, val openedAt: ComparableTimeMark) : AttemptOutcome
 
     /** The answer is complete. The receiver releases [body]. */
     class Complete(val response: HttpResponse, val head: ResponseHead, val body: ByteBuf) : AttemptOutcome
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -69,6 +69,7 @@
     private val timeSource: TimeSource.WithComparableMarks,
     private val onClosed: (EndpointConnection) -> Unit,
     private val onIdle: (EndpointConnection) -> Unit,
+    private val onBrokenUnasked: () -> Unit = {},
     private val onUnexpectedBytes: (UnexpectedBytes) -> Unit = {},
     public val number: Long = 0,
     internal val generation: Int = 0,
@@ -76,6 +77,10 @@
     private var listener: ResponseListener? = null
     private var isSkipping = false
     private var isReset = false
+
+    /** Whether this instance has closed the connection, or its end was noted. */
+    private var isEnding = false
+    private var isAnswering = false
     private var isWritten = true
     private var skippedResponses = 0
     private var skippedBytes = 0L
@@ -88,6 +93,9 @@
     public var hasCarriedResponse: Boolean = false
         private set
 
+    /** Time at which this instance began to open the connection. */
+    public val openedAt: ComparableTimeMark = timeSource.markNow()
+
     /** The channel; set when connecting starts. */
     public lateinit var channel: Channel
         private set
@@ -113,6 +121,7 @@
         check(this.listener == null) { "the connection to $address already carries a request" }
         this.listener = listener
         requestMethod = request.method()
+        isAnswering = false
         isWritten = false
         skippedResponses = 0
         skippedBytes = 0
@@ -126,6 +135,7 @@
     /** Closes the connection without calling its listener. */
     public fun abandon() {
         listener = null
+        isEnding = true
         channel.close()
     }
 
@@ -153,6 +163,7 @@
             if (++informationalResponses > INFORMATIONAL_RESPONSE_LIMIT) fail("too many informational responses")
             return
         }
+        isAnswering = true
         isReusable = HttpUtil.isKeepAlive(response) && isFramed(response)
         endsWithConnection = !isFramed(response) && !decoder.hasNoBody(response)
         keepAliveOf(response)?.let { keepAlive = it }
@@ -184,7 +195,7 @@
         // More may follow an extra response, and its beginning would be taken for that of the next one.
         val isClean = following.isEmpty() && skippedResponses == 0
         val mayCarryAnother = isClean && isReusable && isWritten
-        if (mayCarryAnother && channel.isActive) onIdle(this) else channel.close()
+        if (mayCarryAnother && channel.isActive) onIdle(this) else abandon()
         current.onEnd(
             when {
                 endsWithConnection -> ResponseEnd.ConnectionClosed
@@ -196,17 +207,26 @@
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         isReset = true
+        noteBreak()
         fail(cause.message ?: cause.javaClass.simpleName, isConnectionLost = true)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        noteBreak()
         fail("closed by the endpoint", isConnectionLost = true)
         onClosed(this)
     }
 
+    /** Reports an end that is no reaction to a request: one of an idle connection, or in the middle of a response. */
+    private fun noteBreak() {
+        if (!isEnding && (listener == null || isAnswering)) onBrokenUnasked()
+        isEnding = true
+    }
+
     private fun fail(reason: String, isConnectionLost: Boolean = false) {
         val current = listener
         listener = null
+        isEnding = true
         channel.close()
         current?.onFailure(reason, isConnectionLost)
     }
@@ -242,6 +262,7 @@
             }
             reportUnexpected(UnexpectedBytes.WHILE_IDLE, message.readableBytes())
             message.release()
+            isEnding = true
             context.close()
         }
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
@@ -11,6 +11,7 @@
 import io.quetzalfield.model.HostPort
 import jdk.net.ExtendedSocketOptions
 import java.net.ConnectException
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
@@ -18,6 +19,9 @@
 /** Why there is no connection to an endpoint. The request has not been sent. */
 public enum class ConnectFailure { REFUSED, TIMED_OUT, LIMIT_REACHED }
 
+/** What the connections of this instance to an endpoint show: how many [broken] at one moment, how many are [open]. */
+internal data class ConnectionTrace(val broken: Int, val open: Int)
+
 /** A pool of connections to endpoints, by address. Used on the event loop only. */
 public class EndpointConnections(
     private val eventLoop: EventLoop,
@@ -29,6 +33,12 @@
         val idle = ArrayDeque<EndpointConnection>()
         var open = 0
 
+        /** Those of the [open] ones that the endpoint has accepted. */
+        var established = 0
+
+        /** Times at which connections broke that carried no request without an answer. */
+        val breaks = ArrayDeque<ComparableTimeMark>()
+
         /** Connections that were opened before this number was last raised are not used again. */
         var generation = 0
     }
@@ -36,6 +46,20 @@
     private val pools = HashMap<HostPort, Pool>()
     private var openedConnections = 0L
 
+    /**
+     * Returns the connections of this instance to [address] that have ended around [at], apart from those that carried
+     * a request without an answer, and those that are open.
+     */
+    internal fun traceOf(address: HostPort, at: ComparableTimeMark): ConnectionTrace {
+        val pool = pools[address] ?: return ConnectionTrace(broken = 0, open = 0)
+        return ConnectionTrace(pool.breaks.count { (it - at).absoluteValue < AtOnce }, pool.established)
+    }
+
+    private fun recordBreak(pool: Pool) {
+        pool.breaks.addLast(timeSource.markNow())
+        if (pool.breaks.size > LATEST_BREAKS) pool.breaks.removeFirst()
+    }
+
     /**
      * Calls [onReady] with a connection to [address]: the most recently used idle one or a new one.
      *
@@ -125,12 +149,14 @@
             timeSource,
             onClosed = { closed -> remove(pool, closed) },
             onIdle = ::keep,
+            onBrokenUnasked = { recordBreak(pool) },
             onUnexpectedBytes = onUnexpectedBytes,
             number = ++openedConnections,
             generation = pool.generation,
         )
         bootstrap(connection).connect(address.host, address.port).addListener { future ->
             if (future.isSuccess) {
+                pool.established++
                 onOpened()
                 onReady(connection)
             } else {
@@ -150,6 +176,7 @@
 
     private fun remove(pool: Pool, closed: EndpointConnection) {
         pool.open--
+        pool.established--
         pool.idle.remove(closed)
     }
 
@@ -165,6 +192,12 @@
         .handler(connection.initializer)
 
     private companion object {
+        /** Time within which the connections of a process break that ends, and its reports by others deviate. */
+        val AtOnce: Duration = 200.milliseconds
+
+        /** Breaks that are kept for an address; more than a moment's are not needed to tell an end. */
+        const val LATEST_BREAKS = 16
+
         /** Several round trips between failure domains, but less than the retransmission of a lost packet takes. */
         val ConnectTimeout: Duration = 400.milliseconds
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RequestSender.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RequestSender.kt
@@ -11,6 +11,7 @@
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.ModelId
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -282,15 +283,15 @@
     }
 
     private fun onBroken(endpoint: Endpoint, outcome: AttemptOutcome.Broken) {
-        outcome.candidate?.let { recordSuspectedCrash(endpoint, it) }
+        outcome.candidate?.let { recordSuspectedCrash(endpoint, it, outcome.openedAt) }
         val reason = if (progress.hasBegun) RepeatReason.RESUMED else RepeatReason.BROKEN
         if (!tryRepeat(reason, isNewRun = true)) owner.giveUp(AnswerReason.ATTEMPT_FAILED)
     }
 
     /** Records that the request may have made the endpoint end, unless its end was announced. */
-    private fun recordSuspectedCrash(endpoint: Endpoint, candidate: CrashCandidate) {
+    private fun recordSuspectedCrash(endpoint: Endpoint, candidate: CrashCandidate, openedAt: ComparableTimeMark) {
         if (!endpoint.isEligible) return
-        context.crashes.recordLoss(endpoint, candidate)
+        context.crashes.recordLoss(endpoint, candidate, openedAt)
         caller.log(
             "crash_suspected",
             "endpoint" to endpoint,
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/StatementRecorder.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/StatementRecorder.kt
@@ -10,6 +10,12 @@
     private val caller: CallerRequest,
     private val endpoint: Endpoint,
 ) {
+    /** Records that the endpoint has answered a request that was sent at [sentAt]. */
+    fun recordAlive(decoded: ResponseHead, sentAt: ComparableTimeMark) {
+        val isSameStart = !decoded.isMisdirected && endpoint.startId == endpointStart
+        if (isSameStart) context.crashes.recordAlive(endpoint, sentAt)
+    }
+
     /** The start of the endpoint that the request is sent to; the endpoint may have restarted when it answers. */
     private val endpointStart = endpoint.startId
 
