Endpoints that fail their calls get one trial at a time, of one instance after another

Cause: after each pause an endpoint that resets calls looks empty, and every instance sent several calls to it again.

Change: EndpointTrust keeps what the last calls of an endpoint showed: one trial at a time after a growing pause, in turn among the instances, told by a new optional field of WorkMessage (number 20, older builds skip it); the first good answer to a call sent after the failures ends it. Calls that may not be repeated go to other endpoints. Errors are not told.

All tests of forwarding pass.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -19,6 +19,7 @@
 import io.quetzalfield.forwarding.crashes.CrashGuard
 import io.quetzalfield.forwarding.crashes.CrashSuspect
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
+import io.quetzalfield.forwarding.endpoints.TrialTurn
 import io.quetzalfield.forwarding.fleet.BlameRecords
 import io.quetzalfield.forwarding.fleet.FleetFollower
 import io.quetzalfield.forwarding.fleet.FleetKeys
@@ -82,7 +83,8 @@
         onOpened = metrics::countConnection,
         onUnexpectedBytes = metrics::countUnexpectedBytes,
     )
-    private val directory = EndpointDirectory(timeSource)
+    private val directory =
+        EndpointDirectory(timeSource, trialTurn = { TrialTurn(rankOf(it.value), members.sharers.all.size) })
     private val crashes =
         CrashGuard(eventLoop, connections, metrics, timeSource, { directory.findStart(it) }, ::trialRank)
     private val context = RoutingContext(
@@ -240,9 +242,12 @@
     }
 
     /** Place of this instance among those that may try whether endpoints still end by [suspect]. */
-    private fun trialRank(suspect: CrashSuspect): Int {
+    private fun trialRank(suspect: CrashSuspect): Int = rankOf(suspect.value)
+
+    /** Place of this instance in the order of those that share [key]. */
+    private fun rankOf(key: String): Int {
         val sharers = members.sharers
-        val rank = rendezvousOrder(suspect.value, sharers.all, InstanceId::value).indexOf(sharers.own)
+        val rank = rendezvousOrder(key, sharers.all, InstanceId::value).indexOf(sharers.own)
         return if (rank < 0) sharers.all.size else rank
     }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -38,8 +38,12 @@
 /** Load reported by an endpoint. */
 public data class EndpointLoad(val running: Int, val waiting: Int, val slots: Int)
 
-/** An endpoint as this instance knows it. Used on the event loop only. */
-public class Endpoint(public var description: EndpointDescription) {
+/**
+ * An endpoint as this instance knows it. Used on the event loop only.
+ *
+ * @property trust when it gets work again after failures.
+ */
+public class Endpoint(public var description: EndpointDescription, public val trust: EndpointTrust = EndpointTrust()) {
     /** Requests of this instance that are open at the endpoint. */
     public var inFlight: Int = 0
 
@@ -59,10 +63,10 @@
     public var lastHeard: ComparableTimeMark? = null
 
     /** Time before which it gets no new work, as an attempt has failed or was refused; `null` when none was. */
-    public var avoidedUntil: ComparableTimeMark? = null
-        private set
+    public val avoidedUntil: ComparableTimeMark?
+        get() = listOfNotNull(trust.avoidedUntil, fullUntil).maxOrNull()
 
-    private var consecutiveFailures = 0
+    private var fullUntil: ComparableTimeMark? = null
 
     /** The limit on requests that it has named. */
     public val limit: EndpointLimit = EndpointLimit()
@@ -114,20 +118,18 @@
     public fun unreadTokensAt(now: ComparableTimeMark): Long = unreadTokens + peers.unreadTokensAt(now)
 
     /** Records a failure at [now]: the endpoint is avoided for a while, longer with each consecutive failure. */
-    public fun recordFailure(now: ComparableTimeMark) {
-        avoidedUntil = now + FailurePause * (1 shl consecutiveFailures)
-        consecutiveFailures = (consecutiveFailures + 1).coerceAtMost(MAXIMUM_DOUBLINGS)
-    }
+    public fun recordFailure(now: ComparableTimeMark): Unit = trust.recordFailure(now)
+
+    /** Records a response at [now] that states an error, which may be one of the request. */
+    public fun recordError(now: ComparableTimeMark): Unit = trust.recordFailure(now, isShared = false)
 
     /** Records that the endpoint refused a request at [now] because it is full. */
     public fun recordRefusal(now: ComparableTimeMark) {
-        avoidedUntil = now + FullPause
+        fullUntil = now + FullPause
     }
 
-    /** Records a complete answer. */
-    public fun recordSuccess() {
-        consecutiveFailures = 0
-    }
+    /** Records an answer to a request that was sent at [sentAt]; without it, to one sent after all failures. */
+    public fun recordSuccess(sentAt: ComparableTimeMark? = null): Unit = trust.recordAnswer(sentAt)
 
     /** Discards what was known of the endpoint before it restarted. */
     public fun resetAfterRestart() {
@@ -135,18 +137,14 @@
         peers.clear()
         limit.clear()
         load = null
-        avoidedUntil = null
-        consecutiveFailures = 0
+        fullUntil = null
+        trust.clear()
         hasEnded = false
     }
 
     override fun toString(): String = "${description.id}@${description.address}"
 
     private companion object {
-        /** About the time until the entry of a crashed process shows its end, or the process is restarted. */
-        val FailurePause = 500.milliseconds
-        const val MAXIMUM_DOUBLINGS = 3
-
         /** Time in which a full endpoint completes one or two requests. */
         val FullPause = 150.milliseconds
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectory.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointDirectory.kt
@@ -17,13 +17,19 @@
  *
  * An entry that disappears may only have expired while the store was unavailable; a live runner writes it again within
  * about two seconds. Until [returnGrace] has passed the endpoint is a last resort, afterwards it counts as ended.
+ *
+ * @param trialTurn the turn of this instance among those that find out whether an endpoint still fails.
  */
 public class EndpointDirectory(
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     private val returnGrace: Duration = ReturnGrace,
+    private val trialTurn: (EndpointId) -> TrialTurn = { TrialTurn() },
 ) {
     private val endpoints = LinkedHashMap<EndpointId, Endpoint>()
 
+    /** Called with an endpoint of which the others are to be told. */
+    public var onTrustChanged: (Endpoint, TrustChange) -> Unit = { _, _ -> }
+
     /** Failure domains that get no new work, by order of the operator. */
     public var evacuated: Set<FailureDomainId> = emptySet()
         private set
@@ -42,7 +48,7 @@
     public fun update(description: EndpointDescription): EndpointChange {
         val known = endpoints[description.id]
         if (known == null) {
-            val added = Endpoint(description)
+            val added = add(description)
             endpoints[description.id] = added
             added.isEvacuated = isInEvacuated(added)
             added.recordCold(description.coldFor, timeSource.markNow())
@@ -65,6 +71,12 @@
         }
     }
 
+    private fun add(description: EndpointDescription): Endpoint {
+        val id = description.id
+        val trust = EndpointTrust({ trialTurn(id) }) { change -> find(id)?.let { onTrustChanged(it, change) } }
+        return Endpoint(description, trust)
+    }
+
     /**
      * Replaces the failure domains that get no new work. Endpoints of a domain that is taken back count as cold for the
      * time that [coldStart] returns for their service, as their entries may not show it yet.
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -17,6 +17,7 @@
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.endpoints.EndpointId
 import io.quetzalfield.forwarding.endpoints.LimitChange
+import io.quetzalfield.forwarding.endpoints.TrustChange
 import io.quetzalfield.forwarding.repeatEvery
 import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.HostPort
@@ -59,6 +60,8 @@
     private val fleetReport = WorkReport(::fleetWork)
     private val limitReports = LimitReports()
     private val leavingReports = LeavingReports(endpoints)
+    private val trustReports = TrustReports(endpoints)
+    private var isTrustReportDue = false
     private val lastNumbers = HashMap<Incarnation, Long>()
     private var channel: Channel? = null
     private var isFlushDue = false
@@ -77,6 +80,7 @@
         channel = bound.channel()
         holds.onHeld = { send(composer.held(listOf(it)), members.peers.keys) }
         crashes?.onNews = ::scheduleCrashReport
+        endpoints.onTrustChanged = ::reportTrust
         eventLoop.repeatEvery(RefreshPeriod, ::refresh)
         schedulePresence()
     }
@@ -111,6 +115,16 @@
         }
     }
 
+    private fun reportTrust(endpoint: Endpoint, change: TrustChange) {
+        trustReports.add(endpoint, change, timeSource.markNow())
+        if (isTrustReportDue) return
+        isTrustReportDue = true
+        eventLoop.schedule(TrustReportDelay) {
+            isTrustReportDue = false
+            send(composer.trust(trustReports.take(timeSource.markNow())), members.peers.keys)
+        }
+    }
+
     private fun refresh() {
         sendReport(WorkReport::all)
         sendLimits(limitReports.all(endpoints.all, timeSource.markNow()))
@@ -192,6 +206,7 @@
         message.held.forEach(holds::addRemote)
         message.crashes?.let { crashes?.learn(it, message.sender) }
         message.leaving.forEach { takeLeaving(message.sender, it) }
+        message.trust.forEach { trustReports.learn(it, now) }
         takeWork(message, now)
         val hasNewLimit = message.limits.count { takeLimit(message.sender, it, now) } > 0
         val hasNewWork = message.work.isNotEmpty() && message.scope != WorkScope.FLEET
@@ -256,6 +271,9 @@
         /** Combines what the requests show that an endpoint took with it; short compared with its restart. */
         val CrashReportDelay = 5.milliseconds
 
+        /** Combines the failures of many endpoints; short compared with the pause after a failure. */
+        val TrustReportDelay = 10.milliseconds
+
         /** Combines the changes of many requests; short compared with the time for which a request runs. */
         val FlushDelay = 100.milliseconds
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
@@ -6,7 +6,11 @@
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointId
 import io.quetzalfield.model.Incarnation
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.protobuf.ProtoNumber
+
+private const val TRUST_FIELD = 20
 
 /** Work of instances at one endpoint: requests, and their prompt tokens that are still to be read. */
 @Serializable
@@ -42,7 +46,9 @@
  * @property limits what [sender] knows of the limits that endpoints have named.
  * @property crashes what [sender] has found about requests that make endpoints end.
  * @property leaving endpoints that have stated to [sender] that they will end.
+ * @property trust endpoints that fail calls of [sender], or no longer do.
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 internal data class WorkMessage(
     val sender: Incarnation,
@@ -54,6 +60,9 @@
     val limits: List<LimitReport> = emptyList(),
     val crashes: CrashNews? = null,
     val leaving: List<LeavingReport> = emptyList(),
+    // A number of its own, so that fields that are added above it do not change it.
+    @ProtoNumber(TRUST_FIELD)
+    val trust: List<TrustReport> = emptyList(),
 ) {
     fun encode(): ByteArray = PeerFormat.encode(serializer(), this)
 
@@ -90,6 +99,10 @@
     fun leaving(leaving: List<LeavingReport>): List<WorkMessage> = leaving.chunked(ENDPOINTS_PER_MESSAGE)
         .map { WorkMessage(sender, ++number, isLeaving = isLeaving, leaving = it) }
 
+    /** Returns messages that report [trust]. */
+    fun trust(trust: List<TrustReport>): List<WorkMessage> = trust.chunked(ENDPOINTS_PER_MESSAGE)
+        .map { WorkMessage(sender, ++number, isLeaving = isLeaving, trust = it) }
+
     /** Returns messages that report [news]. */
     fun crashes(news: CrashNews): List<WorkMessage> =
         news.split().map { WorkMessage(sender, ++number, isLeaving = isLeaving, crashes = it) }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -325,7 +325,7 @@
     }
 
     private fun countSuccess() {
-        endpoint.recordSuccess()
+        endpoint.recordSuccess(sentAt)
         if (!isProven) recordProof(firstEventAt ?: lastActivity)
         speed.onAnswerComplete()
         context.observer.countAnswer(request.service, endpoint.description.version)
@@ -333,7 +333,7 @@
 
     private fun countFailure() {
         context.observer.countError(request.service, endpoint.description.version)
-        endpoint.recordFailure(context.timeSource.markNow())
+        endpoint.recordError(context.timeSource.markNow())
     }
 
     override fun onFailure(reason: String, isConnectionLost: Boolean) {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointCandidates.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointCandidates.kt
@@ -6,12 +6,17 @@
 import io.quetzalfield.model.VersionId
 import kotlin.time.Duration
 
-/** Selects the endpoints to which one request may be sent. Used on the event loop only. */
+/**
+ * Selects the endpoints to which one request may be sent. Used on the event loop only.
+ *
+ * @param isRepeatable whether the request may run again, and so may find out whether an endpoint still fails.
+ */
 internal class EndpointCandidates(
     private val context: RoutingContext,
     private val service: ServiceId,
     private val subject: RolloutSubject,
     private val progress: StreamProgress,
+    private val isRepeatable: Boolean,
 ) {
     private val tried = HashSet<Endpoint>()
 
@@ -35,7 +40,8 @@
 
     /** Returns those of [known] that accept a request of this instance now, without those tried if there are others. */
     fun open(known: List<Endpoint>): List<Endpoint> {
-        val open = known.filter(context.limits::mayReceive)
+        val allowed = known.filter(context.limits::mayReceive)
+        val open = if (isRepeatable) allowed else allowed.filterNot { it.trust.isSuspect }.ifEmpty { allowed }
         return open.filterNot(tried::contains).ifEmpty { open }
     }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RequestSender.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RequestSender.kt
@@ -42,7 +42,7 @@
     private val route = request.route
     private val service = request.service
     private val subject = RolloutSubject.of(head.session, head.id)
-    private val candidates = EndpointCandidates(context, service, subject, progress)
+    private val candidates = EndpointCandidates(context, service, subject, progress, route.isRepeatable)
     private var connectFailures = 0
     private var model: ModelId? = firstModel()
 
@@ -171,6 +171,7 @@
             return send()
         }
         context.limits.recordSend(placement.endpoint)
+        placement.endpoint.trust.recordSend(context.timeSource.markNow())
         attemptsSent++
         usedConnections += connection
         runs.recordSend()
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
@@ -174,6 +174,34 @@
         WorkMessage(sender, number = 10, leaving = listOf(LeavingReport("runner-1", start = 1_700_000_000_000))),
     )
 
+    /** Fields of a loss that were added later, and that older builds skip. */
+    @Test
+    fun `losses of an endpoint that has ended, and of one that lives on`() = assertBytes(
+        "0a120a0766726f6e742d31120773746172742d37" + "100b" +
+            "42240a100a0a72756e6e65722d314035101428010a100a0a72756e6e65722d31403510143001",
+        WorkMessage(
+            sender,
+            number = 11,
+            crashes = CrashNews(
+                losses = listOf(
+                    LossReport(RunnerId("runner-1@5"), ageMilliseconds = 20, hasEnded = true),
+                    LossReport(RunnerId("runner-1@5"), ageMilliseconds = 20, isAlive = true),
+                ),
+            ),
+        ),
+    )
+
+    /** Written by the build that added the field, which older builds skip. */
+    @Test
+    fun `endpoints that fail calls`() = assertBytes(
+        "0a120a0766726f6e742d31120773746172742d37" + "100c" + "a201100a0872756e6e65722d31100518022005",
+        WorkMessage(
+            sender,
+            number = 12,
+            trust = listOf(TrustReport("runner-1", start = 5, change = 2, ageMilliseconds = 5)),
+        ),
+    )
+
     @Test
     fun `a field that a later build adds is skipped`() {
         val bytes = HexFormat.of().parseHex("0a120a0766726f6e742d31120773746172742d37" + "1001" + "5203616263")
