--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointTrust.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/EndpointTrust.kt
@@ -56,6 +56,13 @@
     /** Whether the next call is a trial. An endpoint that was never used is not suspect. */
     public val isSuspect: Boolean get() = ownFailures > 0 || toldFailures >= TOLD_FAILURES
 
+    /**
+     * Whether calls that may not be repeated go elsewhere at [now]. They are the trial where for a while no other call
+     * was one, as the endpoint would otherwise never return.
+     */
+    public fun isDoubtfulAt(now: ComparableTimeMark): Boolean =
+        isSuspect && avoidedUntil.let { it != null && now < it + TrialByOthers }
+
     /** Records a failure of a call of this instance at [now], which the others are told of if it [isShared]. */
     public fun recordFailure(now: ComparableTimeMark, isShared: Boolean = true) {
         ownFailures++
@@ -147,6 +154,9 @@
         /** Time in which a trial has an outcome; the next one does not wait for longer. */
         val TrialTime = 1.seconds
 
+        /** Time for which only calls that may be repeated are the trial. */
+        val TrialByOthers = 2.seconds
+
         /** Failures of several instances within this time have one cause. */
         val SameRound = 300.milliseconds
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointCandidates.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointCandidates.kt
@@ -41,10 +41,15 @@
     /** Returns those of [known] that accept a request of this instance now, without those tried if there are others. */
     fun open(known: List<Endpoint>): List<Endpoint> {
         val allowed = known.filter(context.limits::mayReceive)
-        val open = if (isRepeatable) allowed else allowed.filterNot { it.trust.isSuspect }.ifEmpty { allowed }
+        val open = if (isRepeatable) allowed else allowed.withoutDoubtful()
         return open.filterNot(tried::contains).ifEmpty { open }
     }
 
+    private fun List<Endpoint>.withoutDoubtful(): List<Endpoint> {
+        val now = context.timeSource.markNow()
+        return filterNot { it.trust.isDoubtfulAt(now) }.ifEmpty { this }
+    }
+
     /** Time until the limits of [all] allow a request; infinite if they allow none of this instance. */
     fun timeUntilOpen(): Duration = all.minOfOrNull(context.limits::timeUntilAllowed) ?: Duration.INFINITE
 
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointTrustTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/endpoints/EndpointTrustTest.kt
@@ -46,6 +46,17 @@
             assertNull(trust.avoidedUntil)
         }
 
+        @Test
+        fun `keep calls that may not be repeated away until others had time to try`() {
+            trust.recordFailure(now)
+            time += pause
+            assertEquals(true, trust.isDoubtfulAt(now))
+            time += 2.seconds
+            assertEquals(false, trust.isDoubtfulAt(now))
+            trust.recordSend(now)
+            assertEquals(true, trust.isDoubtfulAt(now))
+        }
+
         @Test
         fun `are told, errors of requests are not`() {
             trust.recordFailure(now, isShared = false)
