A plain call leaves a silent endpoint while time for another one is left

Cause: a plain call waits for twice its objective, which may be all of its time.

Change: where the endpoint has answered no other call of this instance either, the call leaves it after half of the time that it had, within the retry budget.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -45,7 +45,7 @@
 
     /** Bytes of the body that are buffered until it is complete. */
     private var bufferedBytes = 0
-    private val silence = SilenceWatch(context, route, endpoint, sentAt, ::onSilenceExceeded)
+    private val silence = SilenceWatch(context, route, endpoint, sentAt, request.remaining, ::onSilenceExceeded)
     private val speed = AnswerSpeedMonitor(request, endpoint, askedModel)
     private val statements = StatementRecorder(context, request.caller, endpoint)
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/SilenceWatch.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/SilenceWatch.kt
@@ -7,12 +7,14 @@
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.schedule
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Watches an attempt at [endpoint] for silence: a lost endpoint may leave its connection open.
  *
  * @param sentAt when the request was sent.
+ * @param given time that the request had left then.
  * @param onExceeded called when the endpoint has been silent for too long, until [close].
  */
 internal class SilenceWatch(
@@ -20,6 +22,7 @@
     private val route: Route,
     private val endpoint: Endpoint,
     private val sentAt: ComparableTimeMark,
+    private val given: Duration,
     private val onExceeded: () -> Unit,
 ) {
     private var timer: ScheduledFuture<*>? = null
@@ -30,11 +33,10 @@
 
     /** Schedules the next check. */
     fun start() {
-        val silence = SilencePolicy.silence(route, endpointSilence(), lastActivity.elapsedNow())
-        val wait = SilencePolicy.limit(route) - silence
+        val wait = SilencePolicy.timeUntilVerdict(route, endpointSilence(), lastActivity.elapsedNow(), given)
         timer = context.eventLoop.schedule(maxOf(wait, ShortestSilenceCheck)) {
             if (isClosed) return@schedule
-            when (SilencePolicy.verdict(route, endpointSilence(), lastActivity.elapsedNow())) {
+            when (SilencePolicy.verdict(route, endpointSilence(), lastActivity.elapsedNow(), given)) {
                 SilenceVerdict.WAIT -> start()
                 SilenceVerdict.PROBE -> probe()
                 SilenceVerdict.LEAVE -> onExceeded()
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/SilencePolicyTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/SilencePolicyTest.kt
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import kotlin.test.assertEquals
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 class SilencePolicyTest {
@@ -43,4 +44,26 @@
         val verdict = SilencePolicy.verdict(route(isStream), ofEndpoint.milliseconds, ofAttempt.milliseconds)
         assertEquals(expected, verdict)
     }
+
+    /** The objective is half of the time that the call has, so that twice the objective leaves none for another one. */
+    @ParameterizedTest
+    @CsvSource(
+        "900, 900, WAIT",
+        "1000, 1000, LEAVE",
+        "9000, 1000, LEAVE",
+        "200, 1900, WAIT",
+        "0, 2000, LEAVE",
+    )
+    fun `a call leaves an endpoint that answers no other call while time for another endpoint is left`(
+        ofEndpoint: Int,
+        ofAttempt: Int,
+        expected: SilenceVerdict,
+    ) {
+        val route = route(isStream = false).copy(objective = 1_000.milliseconds)
+        val (endpoint, attempt) = listOf(ofEndpoint, ofAttempt).map { it.milliseconds }
+        val given = 2_000.milliseconds
+        assertEquals(expected, SilencePolicy.verdict(route, endpoint, attempt, given))
+        val isOver = SilencePolicy.timeUntilVerdict(route, endpoint, attempt, given) <= Duration.ZERO
+        assertEquals(expected != SilenceVerdict.WAIT, isOver)
+    }
 }
