An answer as another endpoint counts for 5 s, not until the next start

Cause: a 421 for any cause took its endpoint out of use until it started again.

Change: it counts as ended for longer than the entry of an ended process stays, and is then tried again.

Measured: MisdirectedAnswerTest got 503 before, 200 now.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -8,6 +8,7 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Identifies one start of a runner; the runner itself chooses it. */
 @JvmInline
@@ -80,8 +81,13 @@
     /** Prompt parts that this instance assumes to be in its memory. */
     public val cachedParts: CachedParts = CachedParts()
 
-    /** Whether it is known to have ended, because another instance answered at its address. */
-    public var hasEnded: Boolean = false
+    /**
+     * Whether it counts as ended, because another endpoint has answered at its address. It is tried again after the
+     * time in which the entry of an endpoint that ended disappears, as the answer may have had another cause.
+     */
+    public val hasEnded: Boolean get() = misdirectedAt.let { it != null && it.elapsedNow() < EndedTime }
+
+    private var misdirectedAt: ComparableTimeMark? = null
 
     /** Whether the operator has ordered that its failure domain gets nothing. */
     public var isEvacuated: Boolean = false
@@ -123,6 +129,12 @@
     /** Records a response at [now] that states an error, which may be one of the request. */
     public fun recordError(now: ComparableTimeMark): Unit = trust.recordFailure(now, isShared = false)
 
+    /** Records that another endpoint answered at its address at [now], or that it took itself for another one. */
+    public fun recordMisdirected(now: ComparableTimeMark) {
+        misdirectedAt = now
+        trust.recordFailure(now, isShared = false)
+    }
+
     /** Records that the endpoint refused a request at [now] because it is full. */
     public fun recordRefusal(now: ComparableTimeMark) {
         fullUntil = now + FullPause
@@ -139,12 +151,15 @@
         load = null
         fullUntil = null
         trust.clear()
-        hasEnded = false
+        misdirectedAt = null
     }
 
     override fun toString(): String = "${description.id}@${description.address}"
 
     private companion object {
+        /** Longer than the entry of a process that has ended stays. */
+        val EndedTime = 5.seconds
+
         /** Time in which a full endpoint completes one or two requests. */
         val FullPause = 150.milliseconds
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -181,7 +181,8 @@
     private fun isTrusted(decoded: ResponseHead) = decoded.isSigned && decoded.requestId != null
 
     private fun handleNotRun(decoded: ResponseHead) {
-        if (decoded.isMisdirected) endpoint.hasEnded = true else endpoint.recordRefusal(context.timeSource.markNow())
+        val now = context.timeSource.markNow()
+        if (decoded.isMisdirected) endpoint.recordMisdirected(now) else endpoint.recordRefusal(now)
         request.caller.log("not_run", "endpoint" to endpoint, "status" to decoded.status, "load" to decoded.load)
         connection.abandon()
         end(AttemptOutcome.StatedNotRun)
