--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkMessages.kt
@@ -6,7 +6,11 @@
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointId
 import io.quetzalfield.model.Incarnation
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.protobuf.ProtoNumber
+
+private const val TRUST_FIELD = 20
 
 /** Work of instances at one endpoint: requests, and their prompt tokens that are still to be read. */
 @Serializable
@@ -43,7 +47,9 @@
  * @property crashes what [sender] has found about requests that make endpoints end.
  * @property leaving endpoints that have stated to [sender] that they will end.
  * @property speeds what [sender] knows of the speeds of endpoints.
+ * @property trust endpoints that fail calls of [sender], or no longer do.
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 internal data class WorkMessage(
     val sender: Incarnation,
@@ -56,6 +62,9 @@
     val crashes: CrashNews? = null,
     val leaving: List<LeavingReport> = emptyList(),
     val speeds: List<SpeedReport> = emptyList(),
+    // A number of its own, so that fields that are added above it do not change it.
+    @ProtoNumber(TRUST_FIELD)
+    val trust: List<TrustReport> = emptyList(),
 ) {
     fun encode(): ByteArray = PeerFormat.encode(serializer(), this)
 
@@ -96,6 +105,10 @@
     fun leaving(leaving: List<LeavingReport>): List<WorkMessage> = leaving.chunked(ENDPOINTS_PER_MESSAGE)
         .map { WorkMessage(sender, ++number, isLeaving = isLeaving, leaving = it) }
 
+    /** Returns messages that report [trust]. */
+    fun trust(trust: List<TrustReport>): List<WorkMessage> = trust.chunked(ENDPOINTS_PER_MESSAGE)
+        .map { WorkMessage(sender, ++number, isLeaving = isLeaving, trust = it) }
+
     /** Returns messages that report [news]. */
     fun crashes(news: CrashNews): List<WorkMessage> =
         news.split().map { WorkMessage(sender, ++number, isLeaving = isLeaving, crashes = it) }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -45,7 +45,7 @@
 
     /** Bytes of the body that are buffered until it is complete. */
     private var bufferedBytes = 0
-    private val silence = SilenceWatch(context, route, endpoint, sentAt, ::onSilenceExceeded)
+    private val silence = SilenceWatch(context, route, endpoint, sentAt, request.remaining, ::onSilenceExceeded)
     private val speed = AnswerSpeedMonitor(request, placement, askedModel)
     private val statements = StatementRecorder(context, request.caller, endpoint)
 
@@ -160,6 +160,7 @@
         }
         this.response = response
         responseHead = decoded
+        statements.recordAlive(decoded, sentAt)
         statements.recordLimit(decoded, lastActivity)
         when {
             // It may repeat a response to an earlier request.
@@ -181,7 +182,8 @@
     private fun isTrusted(decoded: ResponseHead) = decoded.isSigned && decoded.requestId != null
 
     private fun handleNotRun(decoded: ResponseHead) {
-        if (decoded.isMisdirected) endpoint.hasEnded = true else endpoint.recordRefusal(context.timeSource.markNow())
+        val now = context.timeSource.markNow()
+        if (decoded.isMisdirected) endpoint.recordMisdirected(now) else endpoint.recordRefusal(now)
         request.caller.log("not_run", "endpoint" to endpoint, "status" to decoded.status, "load" to decoded.load)
         connection.abandon()
         end(AttemptOutcome.StatedNotRun)
@@ -326,7 +328,7 @@
     }
 
     private fun countSuccess() {
-        endpoint.recordSuccess()
+        endpoint.recordSuccess(sentAt)
         if (!isProven) recordProof(firstEventAt ?: lastActivity)
         speed.onAnswerComplete()
         context.observer.countAnswer(request.service, endpoint.description.version)
@@ -334,7 +336,7 @@
 
     private fun countFailure() {
         context.observer.countError(request.service, endpoint.description.version)
-        endpoint.recordFailure(context.timeSource.markNow())
+        endpoint.recordError(context.timeSource.markNow())
     }
 
     override fun onFailure(reason: String, isConnectionLost: Boolean) {
@@ -352,7 +354,7 @@
         )
         connection.abandon()
         endpoint.recordFailure(context.timeSource.markNow())
-        end(AttemptOutcome.Broken(if (isConnectionLost) crashCandidate() else null))
+        end(AttemptOutcome.Broken(if (isConnectionLost) crashCandidate() else null, connection.openedAt))
     }
 
     /** A request that makes endpoints end does so as they begin to answer it. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointCandidates.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointCandidates.kt
@@ -6,12 +6,17 @@
 import io.quetzalfield.model.VersionId
 import kotlin.time.Duration
 
-/** Selects the endpoints to which one request may be sent. Used on the event loop only. */
+/**
+ * Selects the endpoints to which one request may be sent. Used on the event loop only.
+ *
+ * @param isRepeatable whether the request may run again, and so may find out whether an endpoint still fails.
+ */
 internal class EndpointCandidates(
     private val context: RoutingContext,
     private val service: ServiceId,
     private val subject: RolloutSubject,
     private val progress: StreamProgress,
+    private val isRepeatable: Boolean,
 ) {
     private val tried = HashSet<Endpoint>()
 
@@ -35,10 +40,16 @@
 
     /** Returns those of [known] that accept a request of this instance now, without those tried if there are others. */
     fun open(known: List<Endpoint>): List<Endpoint> {
-        val open = known.filter(context.limits::mayReceive)
+        val allowed = known.filter(context.limits::mayReceive)
+        val open = if (isRepeatable) allowed else allowed.withoutDoubtful()
         return open.filterNot(tried::contains).ifEmpty { open }
     }
 
+    private fun List<Endpoint>.withoutDoubtful(): List<Endpoint> {
+        val now = context.timeSource.markNow()
+        return filterNot { it.trust.isDoubtfulAt(now) }.ifEmpty { this }
+    }
+
     /** Time until the limits of [all] allow a request; infinite if they allow none of this instance. */
     fun timeUntilOpen(): Duration = all.minOfOrNull(context.limits::timeUntilAllowed) ?: Duration.INFINITE
 
