--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -7,15 +7,14 @@
 import io.netty.util.concurrent.DefaultThreadFactory
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.quetzalfield.decision.rendezvousOrder
-import io.quetzalfield.forwarding.choice.AccountDemand
 import io.quetzalfield.forwarding.choice.ActiveSessions
 import io.quetzalfield.forwarding.choice.AnswerTimeEstimates
 import io.quetzalfield.forwarding.choice.ConfidenceCascade
 import io.quetzalfield.forwarding.choice.EndpointLimits
 import io.quetzalfield.forwarding.choice.ExpectedStartPlacement
 import io.quetzalfield.forwarding.choice.HeldSessions
-import io.quetzalfield.forwarding.choice.ReadingLoad
 import io.quetzalfield.forwarding.choice.RetryAllowance
+import io.quetzalfield.forwarding.choice.ScarceCapacity
 import io.quetzalfield.forwarding.choice.SessionHolds
 import io.quetzalfield.forwarding.choice.VersionSplit
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
@@ -93,6 +92,7 @@
     private val crashes =
         CrashGuard(eventLoop, connections, metrics, timeSource, { directory.findStart(it) }, ::trialRank)
     private val answerTimes = AnswerTimeEstimates()
+    private val scarceCapacity = if (settings.isCapacityScarce) ScarceCapacity(timeSource) else null
     private val context = RoutingContext(
         eventLoop = eventLoop,
         configuration = ConfigurationHolder(timeSource),
@@ -105,12 +105,11 @@
         versions = VersionSplit(timeSource, sessions = sessions, holds = sessionHolds),
         placement = ExpectedStartPlacement(
             answerTimes,
-            readWeight = if (settings.isCapacityScarce) SCARCE_READ_WEIGHT else 1,
+            readWeight = if (scarceCapacity == null) 1 else ScarceCapacity.READ_WEIGHT,
         ),
         answerTimes = answerTimes,
-        cascade = if (settings.isCapacityScarce) ScarceCascade else ConfidenceCascade(),
-        accountDemand = if (settings.isCapacityScarce) AccountDemand(timeSource) else null,
-        readingLoad = if (settings.isCapacityScarce) ({ ReadingLoad(timeSource) }) else null,
+        cascade = scarceCapacity?.cascade ?: ConfidenceCascade(),
+        scarceCapacity = scarceCapacity,
         crashes = crashes,
         timeSource = timeSource,
         confirmationBound = settings.revocationBound?.let { it - RevocationMargin },
@@ -325,12 +324,6 @@
         private const val ROLLOUT_DUTY = "version-rollouts"
         private const val SCHEDULER_THREADS = 3
 
-        /** Asks no larger model while the endpoints are fully busy. */
-        private val ScarceCascade = ConfidenceCascade(busyThreshold = 0, fullOccupancy = 1.0)
-
-        /** Weight of a prompt token that is read where capacity is scarce. */
-        private const val SCARCE_READ_WEIGHT = 4
-
         /** Covers the time from the check of the confirmation to the arrival of the request at an endpoint. */
         private val RevocationMargin = 500.milliseconds
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop
 import io.quetzalfield.forwarding.RouterMetrics
-import io.quetzalfield.forwarding.choice.AccountDemand
 import io.quetzalfield.forwarding.choice.ActiveSessions
 import io.quetzalfield.forwarding.choice.AnswerPace
 import io.quetzalfield.forwarding.choice.AnswerTimeEstimates
@@ -13,9 +12,9 @@
 import io.quetzalfield.forwarding.choice.LeastWorkPlacement
 import io.quetzalfield.forwarding.choice.LimitSharers
 import io.quetzalfield.forwarding.choice.ModelCascade
-import io.quetzalfield.forwarding.choice.ReadingLoad
 import io.quetzalfield.forwarding.choice.RetryAllowance
 import io.quetzalfield.forwarding.choice.ReturnSchedule
+import io.quetzalfield.forwarding.choice.ScarceCapacity
 import io.quetzalfield.forwarding.choice.VersionSplit
 import io.quetzalfield.forwarding.configuration.ClientAccount
 import io.quetzalfield.forwarding.configuration.ConfigurationHolder
@@ -38,6 +37,8 @@
  * @property confirmationBound age of its last confirmation up to which the configuration is current; `null` for no
  * bound.
  * @property memberCount number of instances that may have connections to endpoints.
+ * @param scarceCapacity what is decided where callers compete for capacity; `null` where they do not.
+ * @param intakeLimits limits on what is held for callers.
  */
 public class RoutingContext(
     public val eventLoop: EventLoop,
@@ -60,15 +61,10 @@
     public val confirmationBound: Duration? = null,
     public val memberCount: () -> Int = { 1 },
     public val limits: EndpointLimits = EndpointLimits(timeSource) { LimitSharers(own = null, all = emptySet()) },
-    /** Creates the measure of how busy the endpoints of a service are with prompts; `null` to go by their slots. */
-    private val readingLoad: (() -> ReadingLoad)? = null,
-    /** Finds accounts that send many times their usual; `null` if that does not matter. */
-    private val accountDemand: AccountDemand? = null,
+    private val scarceCapacity: ScarceCapacity? = null,
     public val returns: ReturnSchedule = ReturnSchedule(timeSource, random),
     intakeLimits: IntakeLimits = IntakeLimits.of(CallerIntake.processBounds(memoryBytes = null, descriptors = null)),
 ) {
-    private val readingLoads = HashMap<ServiceId, ReadingLoad>()
-
     /** What is held for callers, within [intakeLimits]. */
     public val intake: CallerIntake =
         CallerIntake(eventLoop, metrics, IntakeBudget(intakeLimits, timeSource) { bufferedBodyBytes.toLong() })
@@ -124,10 +120,10 @@
      */
     public fun urgencyOf(account: ClientAccount?, route: Route, service: ServiceId): Int {
         val usual = (account?.priority ?: route.priority).coerceIn(0, LOWEST_URGENCY)
-        val isAboveUsual = account != null && accountDemand?.record(account.account) == true
-        if (!isAboveUsual || (readingLoads[service]?.occupancy ?: 0.0) <= 0.0) return usual
+        val isDemoted = account != null && scarceCapacity?.isDemoted(account.account, service) == true
+        if (!isDemoted) return usual
         metrics.countDemoted()
-        return (usual + DEMOTION).coerceAtMost(LOWEST_URGENCY)
+        return (usual + ScarceCapacity.DEMOTION).coerceAtMost(LOWEST_URGENCY)
     }
 
     /** Requests per second that a cold endpoint of [service] gets from all instances; `null` for no limit. */
@@ -158,9 +154,8 @@
             maxOf(endpoint.runningAt(now), reported)
         }
         val inSlots = inUse.toDouble() / capacity
-        val load = readingLoad?.let { readingLoads.getOrPut(service, it) } ?: return inSlots
-        load.record(reading = open.count { it.unreadTokensAt(now) > 0 }, total = open.size)
-        return maxOf(inSlots, load.occupancy)
+        return scarceCapacity?.occupancy(service, inSlots, open.count { it.unreadTokensAt(now) > 0 }, open.size)
+            ?: inSlots
     }
 
     private companion object {
@@ -169,9 +164,6 @@
 
         const val LOWEST_URGENCY = 9
 
-        /** Below the priorities of the usual routes. */
-        const val DEMOTION = 4
-
         /** Fraction of the requests that a cold endpoint bears; the rest covers uneven times on the way to it. */
         const val COLD_SHARE = 0.9
 
