--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -46,7 +46,7 @@
     /** Bytes of the body that are buffered until it is complete. */
     private var bufferedBytes = 0
     private val silence = SilenceWatch(context, route, endpoint, sentAt, ::onSilenceExceeded)
-    private val speed = AnswerSpeedMonitor(request, endpoint, askedModel)
+    private val speed = AnswerSpeedMonitor(request, placement, askedModel)
     private val statements = StatementRecorder(context, request.caller, endpoint)
 
     /** Sends the request; [number] is the number of this send, from 1. */
@@ -61,7 +61,7 @@
             remaining = request.remaining,
             model = askedModel.takeIf { head.isModelOpen },
             resumeAfter = progress.lastEvent,
-            urgency = (request.account?.priority ?: route.priority).coerceIn(0, LOWEST_URGENCY),
+            urgency = request.urgency,
         )
         request.caller.log(
             "send",
@@ -74,6 +74,7 @@
             "attempt" to number,
             "in_flight" to endpoint.inFlight,
             "unread_tokens" to placement.tokensToRead,
+            "expected_start" to placement.expected?.start,
             "parts" to head.sharedParts.takeIf { it.isNotEmpty() }?.joinToString(",")?.take(LOGGED_PARTS_LENGTH),
             "remaining" to attemptHead.remaining,
         )
@@ -378,8 +379,6 @@
     }
 
     private companion object {
-        const val LOWEST_URGENCY = 9
-
         /** Characters; enough for the parts of the usual prompts. */
         const val LOGGED_PARTS_LENGTH = 200
         val SUCCESS_STATUSES = 200..299
