--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.forwarding.endpoints.LimitChange
 import io.quetzalfield.forwarding.http.AnswerReason
+import io.quetzalfield.forwarding.intake.IntakeMetrics
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -49,7 +50,9 @@
     private val suspectedCrashes = Counter.builder().name("quetzalfield_suspected_crashes_total")
         .help("Requests whose endpoint was lost before it had answered them, or as it began to").register(registry)
     private val confirmedCrashes = Counter.builder().name("quetzalfield_confirmed_crashes_total")
-        .help("Losses of endpoints that refused a connection afterwards").register(registry)
+        .help("Losses of endpoints that are known to have ended").register(registry)
+    private val refutedCrashes = Counter.builder().name("quetzalfield_refuted_crashes_total")
+        .help("Losses of endpoints that answered or took a connection afterwards").register(registry)
     private val blamed = Counter.builder().name("quetzalfield_crash_suspects_blamed_total")
         .help("Requests and parts of prompts that are refused as endpoints end by them").labelNames("kind")
         .register(registry)
@@ -70,6 +73,9 @@
     private val evacuatedDomains = Gauge.builder().name("quetzalfield_evacuated_failure_domains")
         .help("Failure domains whose endpoints get nothing by order of the operator").register(registry)
 
+    /** Metrics of what is held for callers. */
+    public val intake: IntakeMetrics = IntakeMetrics(registry)
+
     init {
         CounterWithCallback.builder().name("quetzalfield_log_lines_dropped_total")
             .help("Log lines that were dropped as standard output did not take them in time")
@@ -141,11 +147,16 @@
         suspectedCrashes.inc()
     }
 
-    /** Counts an endpoint that refused a connection after its loss. */
+    /** Counts an endpoint that is known to have ended after its loss. */
     public fun countConfirmedCrash() {
         confirmedCrashes.inc()
     }
 
+    /** Counts an endpoint that was lost and lives on. */
+    public fun countRefutedCrash() {
+        refutedCrashes.inc()
+    }
+
     /** Counts a part of prompts, or else a request, that is refused from now on. */
     public fun countBlamed(isPart: Boolean) {
         blamed.labelValues(if (isPart) PART else REQUEST).inc()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/endpoints/Endpoint.kt
@@ -9,6 +9,7 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Identifies one start of a runner; the runner itself chooses it. */
 @JvmInline
@@ -43,8 +44,12 @@
  */
 public data class EndpointLoad(val running: Int, val waiting: Int, val slots: Int, val timeFactor: Double? = null)
 
-/** An endpoint as this instance knows it. Used on the event loop only. */
-public class Endpoint(public var description: EndpointDescription) {
+/**
+ * An endpoint as this instance knows it. Used on the event loop only.
+ *
+ * @property trust when it gets work again after failures.
+ */
+public class Endpoint(public var description: EndpointDescription, public val trust: EndpointTrust = EndpointTrust()) {
     /** Requests of this instance that are open at the endpoint. */
     public var inFlight: Int = 0
 
@@ -67,23 +72,26 @@
     public val statesTimeFactor: Boolean get() = load?.timeFactor != null
 
     /**
-     * Time that work takes at the endpoint at [now], in relation to the usual; 1 if it does not state that. The
-     * statement loses half of its weight with each [TimeFactorHalfLife], as it changes many times per second.
+     * Time that work takes at the endpoint at [now], in relation to the usual: what it stated, and what was learnt of
+     * its speed, which contains the usual time there. The statement loses half of its weight with each
+     * [TimeFactorHalfLife], as it changes many times per second.
      */
-    public fun timeFactorAt(now: ComparableTimeMark): Double {
-        val stated = load?.timeFactor ?: return 1.0
-        val age = loadReportedAt?.let { now - it } ?: return 1.0
-        return stated.pow(HALF.pow(age / TimeFactorHalfLife))
+    public fun slownessAt(now: ComparableTimeMark): Double {
+        val learnt = speed.slownessAt(now)
+        val stated = load?.timeFactor ?: return learnt
+        val age = loadReportedAt?.let { now - it } ?: return learnt
+        val weight = HALF.pow(age / TimeFactorHalfLife)
+        return stated.pow(weight) * learnt.pow(1 - weight)
     }
 
     /** Time at which the last bytes arrived from it. */
     public var lastHeard: ComparableTimeMark? = null
 
     /** Time before which it gets no new work, as an attempt has failed or was refused; `null` when none was. */
-    public var avoidedUntil: ComparableTimeMark? = null
-        private set
+    public val avoidedUntil: ComparableTimeMark?
+        get() = listOfNotNull(trust.avoidedUntil, fullUntil).maxOrNull()
 
-    private var consecutiveFailures = 0
+    private var fullUntil: ComparableTimeMark? = null
 
     /** The limit on requests that it has named. */
     public val limit: EndpointLimit = EndpointLimit()
@@ -97,8 +105,13 @@
     /** Prompt parts that this instance assumes to be in its memory. */
     public val cachedParts: CachedParts = CachedParts()
 
-    /** Whether it is known to have ended, because another instance answered at its address. */
-    public var hasEnded: Boolean = false
+    /**
+     * Whether it counts as ended, because another endpoint has answered at its address. It is tried again after the
+     * time in which the entry of an endpoint that ended disappears, as the answer may have had another cause.
+     */
+    public val hasEnded: Boolean get() = misdirectedAt.let { it != null && it.elapsedNow() < EndedTime }
+
+    private var misdirectedAt: ComparableTimeMark? = null
 
     /** Whether the operator has ordered that its failure domain gets nothing. */
     public var isEvacuated: Boolean = false
@@ -135,20 +148,24 @@
     public fun unreadTokensAt(now: ComparableTimeMark): Long = unreadTokens + peers.unreadTokensAt(now)
 
     /** Records a failure at [now]: the endpoint is avoided for a while, longer with each consecutive failure. */
-    public fun recordFailure(now: ComparableTimeMark) {
-        avoidedUntil = now + FailurePause * (1 shl consecutiveFailures)
-        consecutiveFailures = (consecutiveFailures + 1).coerceAtMost(MAXIMUM_DOUBLINGS)
+    public fun recordFailure(now: ComparableTimeMark): Unit = trust.recordFailure(now)
+
+    /** Records a response at [now] that states an error, which may be one of the request. */
+    public fun recordError(now: ComparableTimeMark): Unit = trust.recordFailure(now, isShared = false)
+
+    /** Records that another endpoint answered at its address at [now], or that it took itself for another one. */
+    public fun recordMisdirected(now: ComparableTimeMark) {
+        misdirectedAt = now
+        trust.recordFailure(now, isShared = false)
     }
 
     /** Records that the endpoint refused a request at [now] because it is full. */
     public fun recordRefusal(now: ComparableTimeMark) {
-        avoidedUntil = now + FullPause
+        fullUntil = now + FullPause
     }
 
-    /** Records a complete answer. */
-    public fun recordSuccess() {
-        consecutiveFailures = 0
-    }
+    /** Records an answer to a request that was sent at [sentAt]; without it, to one sent after all failures. */
+    public fun recordSuccess(sentAt: ComparableTimeMark? = null): Unit = trust.recordAnswer(sentAt)
 
     /** Discards what was known of the endpoint before it restarted. */
     public fun resetAfterRestart() {
@@ -157,22 +174,22 @@
         speed.clear()
         limit.clear()
         load = null
-        avoidedUntil = null
-        consecutiveFailures = 0
-        hasEnded = false
+        fullUntil = null
+        trust.clear()
+        misdirectedAt = null
     }
 
     override fun toString(): String = "${description.id}@${description.address}"
 
     private companion object {
-        /** About the time until the entry of a crashed process shows its end, or the process is restarted. */
-        val FailurePause = 500.milliseconds
-        const val MAXIMUM_DOUBLINGS = 3
         const val HALF = 0.5
 
         /** A stated time factor is worth little after a second. */
         val TimeFactorHalfLife = 300.milliseconds
 
+        /** Longer than the entry of a process that has ended stays. */
+        val EndedTime = 5.seconds
+
         /** Time in which a full endpoint completes one or two requests. */
         val FullPause = 150.milliseconds
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/WorkExchange.kt
@@ -17,6 +17,7 @@
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.endpoints.EndpointId
 import io.quetzalfield.forwarding.endpoints.LimitChange
+import io.quetzalfield.forwarding.endpoints.TrustChange
 import io.quetzalfield.forwarding.repeatEvery
 import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.HostPort
@@ -60,6 +61,8 @@
     private val limitReports = LimitReports()
     private val leavingReports = LeavingReports(endpoints)
     private val speedReports = SpeedReports(endpoints)
+    private val trustReports = TrustReports(endpoints)
+    private var isTrustReportDue = false
     private val lastNumbers = HashMap<Incarnation, Long>()
     private var channel: Channel? = null
     private var isFlushDue = false
@@ -78,6 +81,7 @@
         channel = bound.channel()
         holds.onHeld = { send(composer.held(listOf(it)), members.peers.keys) }
         crashes?.onNews = ::scheduleCrashReport
+        endpoints.onTrustChanged = ::reportTrust
         eventLoop.repeatEvery(RefreshPeriod, ::refresh)
         eventLoop.repeatEvery(SpeedPeriod, ::sendSpeeds)
         schedulePresence()
@@ -113,6 +117,16 @@
         }
     }
 
+    private fun reportTrust(endpoint: Endpoint, change: TrustChange) {
+        trustReports.add(endpoint, change, timeSource.markNow())
+        if (isTrustReportDue) return
+        isTrustReportDue = true
+        eventLoop.schedule(TrustReportDelay) {
+            isTrustReportDue = false
+            send(composer.trust(trustReports.take(timeSource.markNow())), members.peers.keys)
+        }
+    }
+
     private fun refresh() {
         sendReport(WorkReport::all)
         sendLimits(limitReports.all(endpoints.all, timeSource.markNow()))
@@ -213,6 +227,7 @@
         message.crashes?.let { crashes?.learn(it, message.sender) }
         message.leaving.forEach { takeLeaving(message.sender, it) }
         message.speeds.forEach { speedReports.take(message.sender, it, now) }
+        message.trust.forEach { trustReports.learn(it, now) }
         takeWork(message, now)
         val hasNewLimit = message.limits.count { takeLimit(message.sender, it, now) } > 0
         val hasNewWork = message.work.isNotEmpty() && message.scope != WorkScope.FLEET
@@ -277,6 +292,9 @@
         /** Combines what the requests show that an endpoint took with it; short compared with its restart. */
         val CrashReportDelay = 5.milliseconds
 
+        /** Combines the failures of many endpoints; short compared with the pause after a failure. */
+        val TrustReportDelay = 10.milliseconds
+
         /** Combines the changes of many requests; short compared with the time for which a request runs. */
         val FlushDelay = 100.milliseconds
 
@@ -284,7 +302,7 @@
         val RefreshPeriod = 1.seconds
 
         /** Short beside the time for which what was learnt of a speed is of use. */
-        val SpeedPeriod = 3.seconds
+        val SpeedPeriod = 1.seconds
 
         /** Largest number of instances with which each reports directly to every other. */
         const val LARGEST_SMALL_FLEET = 8
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -45,7 +45,7 @@
 
     /** Bytes of the body that are buffered until it is complete. */
     private var bufferedBytes = 0
-    private val silence = SilenceWatch(context, route, endpoint, sentAt, ::onSilenceExceeded)
+    private val silence = SilenceWatch(context, route, endpoint, sentAt, request.remaining, ::onSilenceExceeded)
     private val speed = AnswerSpeedMonitor(request, placement, askedModel)
     private val statements = StatementRecorder(context, request.caller, endpoint)
 
@@ -160,6 +160,7 @@
         }
         this.response = response
         responseHead = decoded
+        statements.recordAlive(decoded, sentAt)
         statements.recordLimit(decoded, lastActivity)
         when {
             // It may repeat a response to an earlier request.
@@ -181,7 +182,8 @@
     private fun isTrusted(decoded: ResponseHead) = decoded.isSigned && decoded.requestId != null
 
     private fun handleNotRun(decoded: ResponseHead) {
-        if (decoded.isMisdirected) endpoint.hasEnded = true else endpoint.recordRefusal(context.timeSource.markNow())
+        val now = context.timeSource.markNow()
+        if (decoded.isMisdirected) endpoint.recordMisdirected(now) else endpoint.recordRefusal(now)
         request.caller.log("not_run", "endpoint" to endpoint, "status" to decoded.status, "load" to decoded.load)
         connection.abandon()
         end(AttemptOutcome.StatedNotRun)
@@ -229,7 +231,8 @@
         context.bufferedBodyBytes += content.readableBytes()
         bodyBuffer?.writeBytes(content)
         content.release()
-        val exceedsLimit = bufferedBytes > BUFFERED_BODY_LIMIT || context.bufferedBodyBytes > TOTAL_BUFFERED_LIMIT
+        val totalLimit = context.intake.budget.limits.answerBytes
+        val exceedsLimit = bufferedBytes > BUFFERED_BODY_LIMIT || context.bufferedBodyBytes > totalLimit
         if (exceedsLimit) fail("response body exceeds the size limit")
     }
 
@@ -325,7 +328,7 @@
     }
 
     private fun countSuccess() {
-        endpoint.recordSuccess()
+        endpoint.recordSuccess(sentAt)
         if (!isProven) recordProof(firstEventAt ?: lastActivity)
         speed.onAnswerComplete()
         context.observer.countAnswer(request.service, endpoint.description.version)
@@ -333,7 +336,7 @@
 
     private fun countFailure() {
         context.observer.countError(request.service, endpoint.description.version)
-        endpoint.recordFailure(context.timeSource.markNow())
+        endpoint.recordError(context.timeSource.markNow())
     }
 
     override fun onFailure(reason: String, isConnectionLost: Boolean) {
@@ -351,7 +354,7 @@
         )
         connection.abandon()
         endpoint.recordFailure(context.timeSource.markNow())
-        end(AttemptOutcome.Broken(if (isConnectionLost) crashCandidate() else null))
+        end(AttemptOutcome.Broken(if (isConnectionLost) crashCandidate() else null, connection.openedAt))
     }
 
     /** A request that makes endpoints end does so as they begin to answer it. */
@@ -386,9 +389,6 @@
         /** Bytes of a response that is buffered until it is complete; plain services are expected to send less. */
         const val BUFFERED_BODY_LIMIT = 8 * 1024 * 1024
 
-        /** Bytes of such responses of all requests together; well below the memory of a small instance. */
-        const val TOTAL_BUFFERED_LIMIT = 32 * 1024 * 1024
-
         /** Time from the first event of an answer within which a request ends the endpoint, if it does. */
         val StartOfAnswer = 1.seconds
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -24,6 +24,9 @@
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.forwarding.endpoints.EndpointDirectory
 import io.quetzalfield.forwarding.fleet.VersionObserver
+import io.quetzalfield.forwarding.intake.CallerIntake
+import io.quetzalfield.forwarding.intake.IntakeBudget
+import io.quetzalfield.forwarding.intake.IntakeLimits
 import io.quetzalfield.model.ServiceId
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -62,9 +65,14 @@
     /** Finds accounts that send many times their usual; `null` if that does not matter. */
     private val accountDemand: AccountDemand? = null,
     public val returns: ReturnSchedule = ReturnSchedule(timeSource, random),
+    intakeLimits: IntakeLimits = IntakeLimits.of(CallerIntake.processBounds(memoryBytes = null, descriptors = null)),
 ) {
     private val readingLoads = HashMap<ServiceId, ReadingLoad>()
 
+    /** What is held for callers, within [intakeLimits]. */
+    public val intake: CallerIntake =
+        CallerIntake(eventLoop, metrics, IntakeBudget(intakeLimits, timeSource) { bufferedBodyBytes.toLong() })
+
     /** Called whenever the work of this instance at an endpoint has changed. */
     public var onWorkChanged: () -> Unit = {}
 
