--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashAdmission.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashAdmission.kt
@@ -8,8 +8,12 @@
     /** Nothing is known against the request. */
     data object Allowed : CrashAdmission
 
-    /** The request is refused because of [suspect]. */
-    data class Refused(val suspect: CrashSuspect) : CrashAdmission
+    /**
+     * The request is refused because of [suspect].
+     *
+     * @property isConfirmed whether the endpoints are known to have ended; else it is found out within seconds.
+     */
+    data class Refused(val suspect: CrashSuspect, val isConfirmed: Boolean = true) : CrashAdmission
 
     /** The request is refused because of [suspect] but may be sent once, to find out whether that still holds. */
     data class Trial(val suspect: CrashSuspect) : CrashAdmission
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashGuard.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashGuard.kt
@@ -136,6 +136,7 @@
         val isTold: Boolean,
     ) {
         var probes = 0
+        var hasCheckedLife = false
     }
 
     private fun watch(
@@ -154,11 +155,20 @@
 
     private fun traceOf(watched: Watched) = connections.traceOf(watched.endpoint.description.address, watched.lostAt)
 
+    private fun Watched.canShowLife(now: ComparableTimeMark): Boolean =
+        loss.canShowLife(now, ledger.lostRequests(loss.start))
+
     private fun probe(watched: Watched) {
         watched.probes++
+        val probedAt = timeSource.markNow()
+        val canShowLife = watched.canShowLife(probedAt)
+        watched.hasCheckedLife = watched.hasCheckedLife || canShowLife
         connections.probe(watched.endpoint.description.address) { failure ->
             watched.loss.isRefusing = failure == ConnectFailure.REFUSED
             if (watched.loss.isRefusing) judge(watched)
+            if (failure == null && canShowLife && watched.endpoint.startId == watched.loss.start) {
+                recordAlive(watched.endpoint, probedAt)
+            }
         }
     }
 
@@ -168,7 +178,10 @@
         eventLoop.schedule(WatchPeriod) {
             isWatchScheduled = false
             for (watched in watches.values.toList()) {
-                if (watched.probes < MAXIMUM_PROBES && watched.loss.isDoubtful(traceOf(watched))) probe(watched)
+                val isDoubtful = watched.probes < MAXIMUM_PROBES && watched.loss.isDoubtful(traceOf(watched))
+                // The instance that lost a call finds out whether the endpoint takes connections; the others are told.
+                val mustCheckLife = !watched.isTold && !watched.hasCheckedLife
+                if (isDoubtful || (mustCheckLife && watched.canShowLife(timeSource.markNow()))) probe(watched)
                 judge(watched)
             }
             scheduleWatches()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/CrashLedger.kt
@@ -62,6 +62,9 @@
     /** Whether [endpoint] is recorded as lost and its loss is not confirmed yet. */
     fun isUnconfirmed(endpoint: RunnerId): Boolean = losses.newest(endpoint)?.isOpen == true
 
+    /** Number of different requests that the newest loss of [endpoint] concerns. */
+    fun lostRequests(endpoint: RunnerId): Int = losses.newest(endpoint)?.all?.size ?: 0
+
     /** Records that the connection for [candidate] to [endpoint] was lost. */
     fun recordLoss(endpoint: RunnerId, candidate: CrashCandidate) {
         val loss = losses.add(endpoint, timeSource.markNow())
@@ -131,8 +134,9 @@
         if (evidence.sumOf { it.requestWeight(fingerprint) } < requestThreshold) return CrashAdmission.Allowed
         // Until it is known whether the endpoints ended, the request waits, and nothing is told or kept.
         val confirmed = evidence.filter(EndpointLoss::isConfirmed)
-        if (confirmed.sumOf { it.requestWeight(fingerprint) } >= requestThreshold) blame(suspect, confirmed)
-        return CrashAdmission.Refused(suspect)
+        val isConfirmed = confirmed.sumOf { it.requestWeight(fingerprint) } >= requestThreshold
+        if (isConfirmed) blame(suspect, confirmed)
+        return CrashAdmission.Refused(suspect, isConfirmed)
     }
 
     /** Whether a request with [parts] would be refused, without counting it as a trial. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/LossWatch.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/crashes/LossWatch.kt
@@ -59,6 +59,16 @@
     fun isDoubtful(trace: ConnectionTrace): Boolean =
         !isRefusing && endpoint.startId == start && (endpoint.vanishedAt != null || isBrokenOff(trace))
 
+    /**
+     * Whether a connection that the endpoint takes at [now] shows that it lives on. One that it takes later may be
+     * taken by the next process at its address. It is not asked as early if the loss concerns one request only, of
+     * [lostRequests]: one that makes endpoints end is to meet no further ones meanwhile.
+     */
+    fun canShowLife(now: ComparableTimeMark, lostRequests: Int): Boolean {
+        val earliest = if (lostRequests > 1) rules.reportDelay else LifeCheckOfOne
+        return !isRefusing && endpoint.startId == start && now - lostAt in earliest..RestartTime
+    }
+
     /** Whether all connections have ended, another one than that of the call among them. */
     private fun isBrokenOff(trace: ConnectionTrace): Boolean =
         trace.open == 0 && trace.broken > if (callHadBegun) 1 else 0
@@ -66,5 +76,10 @@
     private companion object {
         /** Time within which a process whose entry had only expired has written it again. */
         val ReturnTime = 2_000.milliseconds
+
+        val LifeCheckOfOne = 800.milliseconds
+
+        /** Shorter than the time in which a process that has ended is replaced. */
+        val RestartTime = 1_500.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
@@ -326,18 +326,18 @@
     /** Refuses the request that is being read, which has not run, as there is no memory for it. */
     private fun refuse(reason: IntakeRefusal) {
         context.intake.countRefusal(reason)
-        reject(HttpResponseStatus.SERVICE_UNAVAILABLE, AnswerReason.CALLERS_PRESSED)
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE, AnswerReason.INTAKE_FULL)
     }
 
     /** Answers an invalid request and closes the connection: the start of the next request is not known. */
     private fun reject(status: HttpResponseStatus, reason: AnswerReason) {
         isKeepAlive = false
         context.metrics.countOwn(status.code(), reason, Duration.ZERO)
-        val isPressed = reason == AnswerReason.CALLERS_PRESSED
-        if (!isPressed) DecisionLog.write("rejected", "status" to status.code(), "reason" to reason)
+        val isIntakeFull = reason == AnswerReason.INTAKE_FULL
+        if (!isIntakeFull) DecisionLog.write("rejected", "status" to status.code(), "reason" to reason)
         val proof = checkNotNull(RunRecord().proof()) { "a rejected request cannot have been sent" }
-        if (isPressed || status == HttpResponseStatus.REQUEST_TIMEOUT) {
-            val delay = if (isPressed) PressedRetryDelay + PressedRetryDelay * context.random.nextDouble() else null
+        if (isIntakeFull || status == HttpResponseStatus.REQUEST_TIMEOUT) {
+            val delay = if (isIntakeFull) IntakeRetryDelay + IntakeRetryDelay * context.random.nextDouble() else null
             sendOwn(OwnAnswer.NotRun(status.code(), reason, delay, proof))
         } else {
             sendOwn(OwnAnswer.Denied(status.code(), reason))
@@ -390,7 +390,7 @@
         val AheadPause = 1.milliseconds
 
         /** Callers that are refused for memory retry after this time and a random part of it. */
-        val PressedRetryDelay = 500.milliseconds
+        val IntakeRetryDelay = 500.milliseconds
 
         /** Longer than the largest allowed body takes on a slow link. */
         val BodyTimeout = 30.seconds
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -141,6 +141,7 @@
         val delayByLimits = if (reason == AnswerReason.ENDPOINTS_LIMITED) sender?.delayByLimits() else null
         return when {
             reason == AnswerReason.QUARANTINED -> QuarantineRetryDelay
+            reason == AnswerReason.CRASH_UNCONFIRMED -> ConfirmationRetryDelay * (1 + context.random.nextDouble())
             delayByLimits != null -> delayByLimits
             else -> ShortestRetryDelay + RetryDelaySpread * context.random.nextDouble()
         }
@@ -166,6 +167,9 @@
         val ShortestRetryDelay = 200.milliseconds
         val RetryDelaySpread = 600.milliseconds
 
+        /** Time in which an endpoint that has not ended shows that. */
+        val ConfirmationRetryDelay = 1_200.milliseconds
+
         /** Slows the caller down; a request that crashes endpoints does not succeed later either. */
         val QuarantineRetryDelay = 30.seconds
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/OwnAnswer.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/OwnAnswer.kt
@@ -17,12 +17,13 @@
     ATTEMPT_FAILED,
     TIMED_OUT,
     QUARANTINED,
+    CRASH_UNCONFIRMED,
     BAD_REQUEST,
     HEADER_TOO_LARGE,
     BODY_TOO_LARGE,
     SLOW_REQUEST,
     SHUTTING_DOWN,
-    CALLERS_PRESSED,
+    INTAKE_FULL,
 }
 
 /** Evidence that a request has not run and will not run. Created by [RunRecord] only. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RequestSender.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RequestSender.kt
@@ -79,7 +79,7 @@
     /** Selects an endpoint for the request and sends it there. */
     private fun send() {
         if (owner.isFinished) return
-        if (!isAdmitted()) return owner.giveUp(AnswerReason.QUARANTINED)
+        crashRefusal()?.let { return owner.giveUp(it) }
         val work = Work(model, head.prompt)
         val known = candidates.all
         val placement = context.placement.choose(work, candidates.open(known), context.timeSource.markNow())
@@ -96,21 +96,21 @@
         )
     }
 
-    /** Whether the request may be sent, as far as it does not make endpoints end. */
-    private fun isAdmitted(): Boolean {
-        if (isTrial || context.crashes.isEmpty) return true
+    /** Why the request may not be sent, as it makes endpoints end; `null` if it may. */
+    private fun crashRefusal(): AnswerReason? {
+        if (isTrial || context.crashes.isEmpty) return null
         return when (val admission = context.crashes.admission(head.sharedParts) { request.fingerprint }) {
-            CrashAdmission.Allowed -> true
+            CrashAdmission.Allowed -> null
 
             is CrashAdmission.Trial -> {
                 isTrial = true
                 caller.log("crash_trial", "suspect" to admission.suspect)
-                true
+                null
             }
 
             is CrashAdmission.Refused -> {
-                caller.log("crash_refused", "suspect" to admission.suspect)
-                false
+                caller.log("crash_refused", "suspect" to admission.suspect, "confirmed" to admission.isConfirmed)
+                if (admission.isConfirmed) AnswerReason.QUARANTINED else AnswerReason.CRASH_UNCONFIRMED
             }
         }
     }
@@ -161,9 +161,9 @@
             connection.abandon()
             return send()
         }
-        if (!isAdmitted()) {
+        crashRefusal()?.let {
             context.connections.release(connection)
-            return owner.giveUp(AnswerReason.QUARANTINED)
+            return owner.giveUp(it)
         }
         if (!context.limits.mayReceive(placement.endpoint)) {
             caller.log("limit_reached", "endpoint" to placement.endpoint)
@@ -200,9 +200,9 @@
     private fun tryRepeat(reason: RepeatReason, isNewRun: Boolean): Boolean {
         val isRepeatable = !isNewRun || !runs.mayHaveRun || route.isRepeatable
         if (!trySpendRepeat(reason, denialOf(isRepeatable))) return false
-        if (!isAdmitted()) {
+        crashRefusal()?.let {
             context.retryAllowance.giveBack(service)
-            owner.giveUp(AnswerReason.QUARANTINED)
+            owner.giveUp(it)
             return true
         }
         sendAgain(reason)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -96,13 +96,13 @@
     /** Whether the last confirmation of the configuration is recent enough to run requests. */
     public val isConfigurationCurrent: Boolean get() = isConfigurationCurrentFor(Duration.ZERO)
 
-    /** Decides on second answers by larger models. */
-    public val largerModels: LargerModelChoice = LargerModelChoice(cascade, answerTimes, ::isConfigurationCurrentFor)
-
-    /** Whether it will still be recent enough after [margin], if no other one arrives. */
+    /** Whether that confirmation will still be recent enough after [margin], if no other one arrives. */
     public fun isConfigurationCurrentFor(margin: Duration): Boolean =
         confirmationBound == null || configuration.isConfirmedWithin(confirmationBound - margin)
 
+    /** Decides on second answers by larger models. */
+    public val largerModels: LargerModelChoice = LargerModelChoice(cascade, answerTimes, ::isConfigurationCurrentFor)
+
     /** Selects one of the services of [route] at random, in proportion to their weights. */
     public fun pickService(route: Route): ServiceId {
         val total = route.services.sumOf { it.weight }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/CallerIntake.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/CallerIntake.kt
@@ -141,12 +141,12 @@
         pressureEnd = eventLoop.schedule(PressureEnd, ::endPressure)
         if (isUnderPressure) return
         isUnderPressure = true
-        log("callers_pressed")
+        log("intake_full")
     }
 
     private fun endPressure() {
         isUnderPressure = false
-        log("callers_calm")
+        log("intake_free")
         refusedInPressure = 0
     }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/IntakeBudget.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/IntakeBudget.kt
@@ -45,7 +45,7 @@
  * Decides which callers may send on, which wait and which are refused, so that what is held for all of them never
  * exceeds [IntakeLimits]. Holds no buffers and no connections; used by one thread.
  *
- * The load is many bodies at once, of which some stop before their end. Memory is promised to a declared body at its
+ * Load pattern: many bodies at once, of which some stop before their end. Memory is promised to a declared body at its
  * head, so that a body that has begun can always be completed. A body that does not fit waits unread, in order of
  * arrival; each wait ends with the memory or, after [IntakeLimits.pause], with a refusal. While a body waits, those
  * that arrive slower than [IntakeLimits.leastRate] lose their memory. Small bodies and short heads have a part of the
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayLink.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayLink.kt
@@ -55,6 +55,10 @@
     /** Whether this instance takes the store's keys from this link. */
     var isAttached = false
 
+    /** Whether the relay has answered any query. */
+    var hasAnswered = false
+        private set
+
     /** Whether the relay said in its last answer that it has lost the store, which it had read before. */
     var isRelayLost = false
         private set
@@ -120,6 +124,7 @@
 
     private fun handleCurrent(message: RelayMessage.Current) {
         val sent = pending.remove(message.number) ?: return
+        hasAnswered = true
         pending.keys.removeAll { it < message.number }
         for (part in message.parts) mirrors[part.prefix]?.advanceTo(StoreRevision(part.reached))
         isRelayLost = message.parts.any { it.isLost && it.reached > 0 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayPreference.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayPreference.kt
@@ -20,7 +20,7 @@
  *
  * Load pattern: the store turns a third of the instances away, relays among them, and their leases lapse; or many
  * instances end whose records stay in the list for a while. An instance that is turned away asks any member, one after
- * the other, and does not come back soon to one that has failed twice.
+ * the other, and does not ask one soon again that has failed twice without an answer.
  */
 internal class RelayPreference(
     private val own: MemberRecord,
@@ -61,10 +61,10 @@
     /** Whether [incarnation] may be used as long as it is current. */
     fun isRegular(incarnation: Incarnation): Boolean = regular.any { it.incarnation == incarnation }
 
-    /** Records that [incarnation] has failed as a relay. */
-    fun recordFailure(incarnation: Incarnation) {
+    /** Records that [incarnation] has failed as a relay; one that [hasAnswered], if only that it is behind, lives. */
+    fun recordFailure(incarnation: Incarnation, hasAnswered: Boolean = false) {
         val before = failures[incarnation]?.count ?: 0
-        failures[incarnation] = Failure(timeSource.markNow(), before + 1)
+        failures[incarnation] = Failure(timeSource.markNow(), if (hasAnswered) 1 else before + 1)
     }
 
     /**
@@ -84,7 +84,7 @@
         /** Time for which an instance that failed as a relay is not asked. */
         val FirstSuspension: Duration = 4.seconds
 
-        /** The same when it has failed again; longer than an instance that has ended stays listed. */
+        /** The same when it has failed again without an answer; longer than an instance that has ended stays listed. */
         val LaterSuspension: Duration = 30.seconds
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayedStore.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayedStore.kt
@@ -166,7 +166,7 @@
     }
 
     private fun leave(link: RelayLink, hasFailed: Boolean) {
-        if (hasFailed) preference.recordFailure(link.relay.incarnation)
+        if (hasFailed) preference.recordFailure(link.relay.incarnation, link.hasAnswered)
         DecisionLog.write("relay_left", "relay" to link.relay.incarnation, "failed" to hasFailed)
         link.close()
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/StartPhase.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/StartPhase.kt
@@ -17,6 +17,8 @@
     private var listRead: ComparableTimeMark? = null
 
     /**
+     * Whether this instance must read all parts from the store itself.
+     *
      * @param isListRead whether the list of instances has been read.
      * @param hasOthers whether another instance is listed.
      * @param isListed whether this instance is listed.
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/RelayPreferenceTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/RelayPreferenceTest.kt
@@ -85,6 +85,17 @@
             assertEquals(2, third.asked())
         }
 
+        @Test
+        fun `a relay that fails again and again but answers is asked again soon`() {
+            val third = preferenceOf(3)
+            repeat(3) {
+                third.recordFailure(members[0].record.incarnation, hasAnswered = true)
+                assertEquals(2, third.asked())
+                time += RelayPreference.FirstSuspension + 1.milliseconds
+                assertEquals(1, third.asked())
+            }
+        }
+
         @Test
         fun `the record of an earlier incarnation is no relay`() {
             val restarted = member(1, start = "next start", joined = 20)
