Queries that one connection sends ahead do not delay the others

A turn of the event loop read up to 1 MB of a connection with queries, some 9,000 of them, and answered them all, on each of 25 connections, before any other connection had its turn. Now such a connection is read by 4 KiB, and answers one query at a time; the next one follows when the answer has been written and others have had a turn.

HttpListenersTest, before: 5,000 queries of another connection were answered before an ordinary one; after: under 400.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/HttpListeners.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/HttpListeners.kt
@@ -10,6 +10,8 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.FixedRecvByteBufAllocator
+import io.netty.channel.RecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
@@ -23,6 +25,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.flow.FlowControlHandler
 import io.netty.handler.timeout.IdleStateHandler
 import io.quetzalfield.model.HostPort
 import java.util.concurrent.TimeUnit
@@ -35,6 +38,9 @@
 private const val QUERY_HEADER_LIMIT = 4_096
 private const val DEFAULT_QUERY_CONNECTIONS = 64
 
+/** Bytes of one read of a connection with queries, which bound what it holds of queries that were sent ahead. */
+private const val QUERY_READ_BYTES = 4_096
+
 /** An answer to a query for addresses, readiness or metrics. */
 public class PlainAnswer(
     public val status: Int,
@@ -60,29 +66,40 @@
             )
         }
 
-    /** Answers short requests at [address] by their path and query. A `null` [answer] is sent as status 404. */
+    /**
+     * Answers short requests at [address] by their path and query. A `null` [answer] is sent as status 404. A
+     * connection is read on when its query has been answered and the answer has been written.
+     */
     public fun listenForQueries(address: HostPort, answer: (String) -> PlainAnswer?): Channel {
         val connections = QueryConnections(queryConnections)
-        return listen(address) { channel ->
+        val allocator = FixedRecvByteBufAllocator(QUERY_READ_BYTES).maxMessagesPerRead(1)
+        return listen(address, allocator, isReadOnDemand = true) { channel ->
             connections.add(channel)
             channel.pipeline().addLast(
                 IdleStateHandler(0, 0, QUERY_IDLE_SECONDS, TimeUnit.SECONDS),
                 HttpRequestDecoder(HttpDecoderConfig().setMaxHeaderSize(QUERY_HEADER_LIMIT)),
                 HttpResponseEncoder(),
                 HttpObjectAggregator(QUERY_BODY_LIMIT),
+                FlowControlHandler(),
                 QueryHandler(answer),
             )
         }
     }
 
-    private fun listen(address: HostPort, initialize: (SocketChannel) -> Unit): Channel = ServerBootstrap()
+    private fun listen(
+        address: HostPort,
+        allocator: RecvByteBufAllocator = drainingAllocator(),
+        isReadOnDemand: Boolean = false,
+        initialize: (SocketChannel) -> Unit,
+    ): Channel = ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel::class.java)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.SO_KEEPALIVE, true)
-        .childOption(ChannelOption.RECVBUF_ALLOCATOR, drainingAllocator())
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, allocator)
+        .childOption(ChannelOption.AUTO_READ, !isReadOnDemand)
         .childHandler(initializer(initialize))
         .bind(address.host, address.port)
         .syncUninterruptibly()
@@ -108,12 +125,11 @@
 
 private class QueryHandler(private val answer: (String) -> PlainAnswer?) :
     SimpleChannelInboundHandler<FullHttpRequest>() {
+    override fun channelActive(context: ChannelHandlerContext) {
+        context.read()
+    }
+
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-        // A caller that sends queries and does not read the answers would let them pile up.
-        if (!context.channel().isWritable) {
-            context.close()
-            return
-        }
         val plain = if (request.decoderResult().isFailure) PlainAnswer(BAD_REQUEST) else answer(request.uri())
         val found = plain ?: PlainAnswer(NOT_FOUND)
         val body = found.body?.let(Unpooled::wrappedBuffer) ?: Unpooled.EMPTY_BUFFER
@@ -124,9 +140,12 @@
         val isKept = HttpUtil.isKeepAlive(request)
         HttpUtil.setKeepAlive(response, isKept)
         val written = context.writeAndFlush(response)
-        if (!isKept) written.addListener(ChannelFutureListener.CLOSE)
+        written.addListener(if (isKept) ChannelFutureListener { readNext(context) } else ChannelFutureListener.CLOSE)
     }
 
+    /** Lets other connections have a turn before the next query of this one, which may have been read already. */
+    private fun readNext(context: ChannelHandlerContext) = context.executor().execute { context.read() }
+
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
         context.close()
     }
