A caller that is refused while it sends still gets the answer

Cause: after a refusal the connection was closed at once. With bytes of the body unread the close resets it, and a caller that is still sending never sees the 503, its Retry-After and that its request has not run. Change: after the answer the output is shut down, and what the caller still sends is dropped until it closes, for at most the grace of a body and the bytes of the largest body. RefusedForMemoryTest with clients that are still sending when they are refused: "Broken pipe" on the code before (1 run), holds now (1 run); BadInputTest, EndlessBytesTest, RequestAfterStreamTest and CalmTest hold.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
@@ -18,8 +18,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
 import io.quetzalfield.forwarding.DecisionLog
@@ -94,6 +92,10 @@
         exchange?.cancel()
         exchange = null
         this.context.intake.close(share)
+        dropRequest()
+    }
+
+    private fun dropRequest() {
         body?.release()
         body = null
         queue.forEach(ReferenceCountUtil::release)
@@ -186,12 +188,9 @@
         if (part is HttpContent && !isClosing) readBody(part)
     }
 
-    private fun rejectMalformed(cause: Throwable) = when (cause) {
-        is FieldsRefused -> refuse(IntakeRefusal.FIELDS)
-
-        is TooLongHttpHeaderException, is TooLongHttpLineException ->
-            reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, AnswerReason.HEADER_TOO_LARGE)
-
+    private fun rejectMalformed(cause: Throwable) = when {
+        cause is FieldsRefused -> refuse(IntakeRefusal.FIELDS)
+        cause.isTooLong -> reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, AnswerReason.HEADER_TOO_LARGE)
         else -> reject(HttpResponseStatus.BAD_REQUEST, AnswerReason.BAD_REQUEST)
     }
 
@@ -311,12 +310,13 @@
         markConnection(response)
         val written = channelContext.writeAndFlush(response)
         countUnread(written)
-        if (mustClose()) {
-            isClosing = true
-            written.addListener(ChannelFutureListener.CLOSE)
-        }
+        if (!mustClose()) return
+        isClosing = true
+        written.addListener(if (exchange != null) ChannelFutureListener.CLOSE else lingeringClose())
     }
 
+    private fun lingeringClose() = LingeringClose(context.intake.budget.limits.grace, limits.bodyBytes.toLong())
+
     private fun mustClose() = !isKeepAlive || context.isShuttingDown
 
     private fun markConnection(response: HttpResponse) {
@@ -345,8 +345,7 @@
         isClosing = true
         isPaused = false
         startTimer(limits.idleTimeout, ::close)
-        body?.release()
-        body = null
+        dropRequest()
         context.intake.endRequest(share)
     }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerResponses.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerResponses.kt
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
 import java.util.Locale
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -50,6 +52,10 @@
     return whole
 }
 
+/** Whether a request could not be decoded because its first line or its header is longer than the limit. */
+internal val Throwable.isTooLong: Boolean
+    get() = this is TooLongHttpHeaderException || this is TooLongHttpLineException
+
 /** Tells a caller that waits for it to send its body. */
 internal fun continueResponse(): DefaultFullHttpResponse =
     DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
