Answers that are hardly read give way to bodies that wait

Cause: an answer that its caller left unread gave way to other answers only. Callers that read a byte now and then filled the memory, and each larger body was refused after its pause. Change: while a body waits, as many unread answers are closed as it needs: those read slower than callers.least_read_bytes_per_second after the grace (reason slow_reader), then those left for longest while all of them take more than half of the memory (unread). Without a waiting body nothing changes.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/CallerConnection.kt
@@ -68,6 +68,8 @@
 
     override val isAnswering: Boolean get() = exchange != null
 
+    override val unreadBytes: Long get() = channelContext.channel().unreadBytes
+
     /** Whether nothing is to be decoded before a request has been answered and its answer read, or memory is free. */
     internal val isHeld: Boolean get() = exchange != null || isPaused || !isWritable
 
@@ -298,8 +300,8 @@
     }
 
     private fun updatePending() {
-        val unread = channelContext.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0L
-        if (channelContext.channel().isActive) context.intake.setPending(share, unread + aheadBytes)
+        val channel = channelContext.channel()
+        if (channel.isActive) context.intake.setPending(share, channel.unwrittenBytes + aheadBytes)
     }
 
     override fun abortStream(): Unit = close()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/CallerIntake.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/CallerIntake.kt
@@ -13,6 +13,9 @@
     /** Whether a request of this connection is being answered, so that it is not closed for another one. */
     val isAnswering: Boolean
 
+    /** Bytes of answers that the caller has still to read. */
+    val unreadBytes: Long
+
     /** The memory for which the connection waited is held for it. */
     fun onMemoryGranted()
 
@@ -24,7 +27,7 @@
 }
 
 /** Why a caller was refused, or its connection closed, for the sake of the others. */
-public enum class IntakeRefusal { BODY, STALLED_BODY, FIELDS, UNREAD, CONNECTIONS }
+public enum class IntakeRefusal { BODY, STALLED_BODY, FIELDS, UNREAD, SLOW_READER, CONNECTIONS }
 
 /** Carries out the decisions of an [IntakeBudget] on the event loop, with log lines when pressure begins and ends. */
 public class CallerIntake(
@@ -90,12 +93,10 @@
 
     /** Records what the caller of [share] has not read or has sent ahead, in bytes. */
     internal fun setPending(share: IntakeShare, bytes: Long) {
+        clients[share]?.let { budget.recordUnread(share, it.unreadBytes) }
         if (bytes == share.pendingBytes) return
         val isRelease = bytes < share.pendingBytes
-        for (closed in budget.setPending(share, bytes)) {
-            countRefusal(IntakeRefusal.UNREAD)
-            clients[closed]?.closeForMemory()
-        }
+        budget.setPending(share, bytes).forEach { closeReader(it, IntakeRefusal.UNREAD) }
         if (isRelease) onReleased()
     }
 
@@ -122,13 +123,21 @@
     }
 
     private fun settle() {
+        for ((share, client) in clients) if (share.pendingBytes > 0) budget.recordUnread(share, client.unreadBytes)
         val settled = budget.settle()
+        settled.slowReaders.forEach { closeReader(it, IntakeRefusal.SLOW_READER) }
+        settled.unread.forEach { closeReader(it, IntakeRefusal.UNREAD) }
         settled.stalled.forEach { refuse(it, IntakeRefusal.STALLED_BODY) }
         settled.refused.forEach { refuse(it, IntakeRefusal.BODY) }
         settled.resumed.forEach { clients[it]?.onMemoryGranted() }
         report()
     }
 
+    private fun closeReader(share: IntakeShare, reason: IntakeRefusal) {
+        countRefusal(reason)
+        clients[share]?.closeForMemory()
+    }
+
     private fun refuse(share: IntakeShare, reason: IntakeRefusal) {
         clients[share]?.onMemoryRefused(reason)
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/IntakeBudget.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/IntakeBudget.kt
@@ -26,6 +26,13 @@
     public var awaitedBytes: Long = 0
         internal set
 
+    /** Bytes of answers that the caller has still to read. */
+    public var unreadBytes: Long = 0
+        internal set
+
+    /** Bytes that the caller has read since it last had read all. */
+    internal var readBytes: Long = 0
+    internal var unreadSince: Duration = Duration.ZERO
     internal var beganAt: Duration? = null
     internal var awaitedSince: Duration = Duration.ZERO
     internal var pendingSince: Duration = Duration.ZERO
@@ -39,6 +46,10 @@
     public val refused: List<IntakeShare>,
     /** Connections whose bodies arrive too slowly while others wait; their requests are refused as not run. */
     public val stalled: List<IntakeShare>,
+    /** Connections to be closed as their answers are read too slowly while others wait. */
+    public val slowReaders: List<IntakeShare>,
+    /** Connections to be closed as unread answers take more than their part of the memory while others wait. */
+    public val unread: List<IntakeShare>,
 )
 
 /**
@@ -48,8 +59,10 @@
  * Load pattern: many bodies at once, of which some stop before their end. Memory is promised to a declared body at its
  * head, so that a body that has begun can always be completed. A body that does not fit waits unread, in order of
  * arrival; each wait ends with the memory or, after [IntakeLimits.pause], with a refusal. While a body waits, those
- * that arrive slower than [IntakeLimits.leastRate] lose their memory. Small bodies and short heads have a part of the
- * memory for themselves, so that large ones do not keep them out.
+ * that arrive slower than [IntakeLimits.leastRate] lose their memory, and so do answers that are read slower than
+ * [IntakeLimits.leastReadRate], and those left for longest beyond half of the memory: new answers come without a wait
+ * and would take whatever is closed. No more of them are closed than the first wait needs. Small bodies and short heads
+ * have a part of the memory for themselves, so that large ones do not keep them out.
  *
  * @param outsideBytes direct memory that is held for callers elsewhere and counts too.
  */
@@ -157,16 +170,25 @@
         val closed = mutableListOf<IntakeShare>()
         while (heldBytes + outsideBytes() > limits.bodyBytes && pending.isNotEmpty()) {
             val longest = pending.minBy(IntakeShare::pendingSince)
-            pending -= longest
-            heldBytes -= longest.pendingBytes
-            longest.pendingBytes = 0
+            dropPending(longest)
             closed += longest
         }
         return closed
     }
 
+    /** Records that the caller of [share] has [bytes] of its answers still to read. */
+    public fun recordUnread(share: IntakeShare, bytes: Long) {
+        if (share.unreadBytes == 0L) {
+            share.unreadSince = now
+            share.readBytes = 0
+        }
+        share.readBytes += (share.unreadBytes - bytes).coerceAtLeast(0)
+        share.unreadBytes = bytes
+    }
+
     /** Gives free memory to those that wait, in order, and ends the waits that have lasted too long. */
     public fun settle(): IntakeSettlement {
+        val (slowReaders, unread) = closeReaders().partition(::isSlowReader)
         val resumed = mutableListOf<IntakeShare>()
         val blocked = HashSet<Boolean>()
         for (share in waiting.toList()) {
@@ -184,7 +206,38 @@
         val refused = waiting.filter { now - it.awaitedSince >= limits.pause }
         waiting -= refused.toSet()
         val stalled = if (waiting.isEmpty() && refused.isEmpty()) emptyList() else shares.filter(::isStalled)
-        return IntakeSettlement(resumed, refused, stalled - refused.toSet())
+        return IntakeSettlement(resumed, refused, stalled - refused.toSet(), slowReaders, unread)
+    }
+
+    /** Stops counting answers, slow readers first, until the bodies fit that have waited longest. */
+    private fun closeReaders(): List<IntakeShare> {
+        val next = waiting.distinctBy { isSmall(it, it.awaitedBytes) }
+        var missing = next.maxOfOrNull { counted(it.awaitedBytes) - room(it, it.awaitedBytes) } ?: 0
+        if (missing <= 0) return emptyList()
+        var left = pending.sumOf(IntakeShare::pendingBytes)
+        val closed = mutableListOf<IntakeShare>()
+        val worstFirst = compareBy<IntakeShare>({ !isSlowReader(it) }, IntakeShare::pendingSince)
+        for (share in (pending - waiting).sortedWith(worstFirst)) {
+            if (missing <= 0) break
+            if (!isSlowReader(share) && left <= limits.bodyBytes / READER_PART) continue
+            missing -= share.pendingBytes
+            left -= share.pendingBytes
+            dropPending(share)
+            closed += share
+        }
+        return closed
+    }
+
+    private fun isSlowReader(share: IntakeShare): Boolean {
+        val beyondGrace = now - share.unreadSince - limits.grace
+        return share.unreadBytes > 0 && beyondGrace > Duration.ZERO &&
+            share.readBytes < beyondGrace.toDouble(DurationUnit.SECONDS) * limits.leastReadRate
+    }
+
+    private fun dropPending(share: IntakeShare) {
+        pending -= share
+        heldBytes -= share.pendingBytes
+        share.pendingBytes = 0
     }
 
     private fun isStalled(share: IntakeShare): Boolean {
@@ -202,10 +255,12 @@
 
     private fun isSmall(share: IntakeShare, bytes: Long) = share.bodyBytes + bytes <= SMALL_BODY_BYTES
 
-    private fun fits(share: IntakeShare, bytes: Long): Boolean {
-        val room = if (isSmall(share, bytes)) limits.bodyBytes else limits.bodyBytes - limits.bodyBytes / RESERVED_PART
-        return heldBytes + outsideBytes() + bytes <= room
-    }
+    private fun fits(share: IntakeShare, bytes: Long) = counted(bytes) <= room(share, bytes)
+
+    private fun counted(bytes: Long) = heldBytes + outsideBytes() + bytes
+
+    private fun room(share: IntakeShare, bytes: Long): Long =
+        if (isSmall(share, bytes)) limits.bodyBytes else limits.bodyBytes - limits.bodyBytes / RESERVED_PART
 
     public companion object {
         /** Heap for the state of one connection, in bytes. */
@@ -222,5 +277,8 @@
 
         /** Fraction of the memory that is kept for small bodies and short heads. */
         private const val RESERVED_PART = 8
+
+        /** Fraction of the memory that unread answers keep while a body waits, unless they are read too slowly. */
+        private const val READER_PART = 2
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/IntakeLimits.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/intake/IntakeLimits.kt
@@ -27,8 +27,9 @@
  * @property connections connections of callers.
  * @property queryConnections connections to each address that answers queries.
  * @property pause longest time for which a body is not read because there is no memory for it.
- * @property grace time that a body may take whatever its size.
+ * @property grace time that a body, or the reading of an answer, may take whatever its size.
  * @property leastRate bytes per second that a body must arrive with after [grace] while another one waits for memory.
+ * @property leastReadRate bytes per second with which an answer must be read after [grace] while a body waits.
  */
 public data class IntakeLimits(
     val bodyBytes: Long,
@@ -38,6 +39,7 @@
     val pause: Duration = DefaultPause,
     val grace: Duration = DefaultGrace,
     val leastRate: Int = DEFAULT_LEAST_RATE,
+    val leastReadRate: Int = DEFAULT_LEAST_READ_RATE,
 ) {
     /** Part of [bodyBytes] for the answers of endpoints that are not complete yet. */
     val answerBytes: Long get() = minOf(LARGEST_ANSWER_BYTES, bodyBytes / ANSWER_PART)
@@ -64,6 +66,7 @@
         private const val DESCRIPTOR_PARTS = 16
         private const val CALLER_PARTS = 7
         private const val DEFAULT_LEAST_RATE = 65_536
+        private const val DEFAULT_LEAST_READ_RATE = 16_384
         private val DefaultPause = 1_000.milliseconds
         private val DefaultGrace = 3.seconds
 
