--- a/entry/src/test/kotlin/io/quetzalfield/entry/ServiceOperationsTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/ServiceOperationsTest.kt
@@ -24,7 +24,12 @@
 import io.quetzalfield.support.startHttpServer
 import okhttp3.OkHttpClient
 import org.junit.jupiter.api.Nested
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketException
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -212,29 +217,64 @@
 }
 
 class ServiceClientTest {
-    @Test
-    fun `a service that asks to be called again at once is called once`() {
-        val calls = AtomicInteger()
-        val server = startHttpServer("127.0.0.1", 0) {
-            post("/operations/book") { context ->
-                calls.incrementAndGet()
-                context.status(503).header("Retry-After", "0").result("busy")
-            }
-        }
+    private fun clientTo(port: Int): ServiceClient {
         val directory = InMemoryInstanceDirectory()
         directory.announce(
             ListedInstance(
                 id = InstanceId("service-1"),
                 kind = InstanceKind.SERVICE,
-                address = "http://127.0.0.1:${server.port()}",
+                address = "http://127.0.0.1:$port",
                 failureDomain = FailureDomainId("domain-1"),
                 service = ServiceId("bookings"),
             ),
         )
-        val fleet = FleetView(directory).apply { refresh() }
-        val result = ServiceClient(fleet, OkHttpClient()).send(call())
+        return ServiceClient(FleetView(directory).apply { refresh() }, OkHttpClient())
+    }
+
+    @Test
+    fun `a service that asks to be called again at once is called once`() {
+        val calls = AtomicInteger()
+        val server = startHttpServer("127.0.0.1", 0) {
+            post("/operations/book") { context ->
+                calls.incrementAndGet()
+                context.status(503).header("Retry-After", "0").result("busy")
+            }
+        }
+        val result = clientTo(server.port()).send(call())
         server.stop()
         assertEquals(503, assertIs<Either.Right<ServiceAnswer>>(result).value.status)
         assertEquals(1, calls.get())
     }
+
+    @Test
+    fun `a second answer to one call is not taken for the answer to the next`() {
+        ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1")).use { server ->
+            thread(isDaemon = true) { serveTwice(server) }
+            val client = clientTo(server.localPort)
+            val answers = List(2) { number -> client.send(call("body-$number")) }
+            assertEquals(listOf("body-0", "body-1"), answers.map { it.summary() })
+        }
+    }
+
+    /** Answers each call with its body, and once more with something else. */
+    private fun serveTwice(server: ServerSocket) = try {
+        while (true) server.accept().let { socket -> thread(isDaemon = true) { socket.use(::serveTwice) } }
+    } catch (_: SocketException) {
+        // The test has ended.
+    }
+
+    private fun serveTwice(socket: Socket) {
+        val reader = socket.getInputStream().bufferedReader()
+        while (true) {
+            val head = generateSequence(reader::readLine).takeWhile(String::isNotEmpty).toList()
+            val length = head.firstOrNull { it.startsWith("Content-Length: ") }?.substringAfter(' ')?.toInt() ?: return
+            val body = CharArray(length).also { reader.read(it) }.concatToString()
+            val answers = listOf(body, "stray ").map { "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n$it" }
+            socket.getOutputStream().write(answers.joinToString("").encodeToByteArray())
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 10
+    }
 }
