--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutDoubtTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutDoubtTest.kt
@@ -20,6 +20,13 @@
         assertEquals(StopCause.LATENCY, RolloutDoubt.of(speed(slow, timed), speed(usualSlow, usualTimed)))
     }
 
+    /** Load pattern: endpoints that read prompts delay a few answers of both versions. */
+    @ParameterizedTest
+    @CsvSource("4, 17, 5, 81", "4, 14, 5, 81", "5, 20, 7, 97", "4, 14, 3, 64")
+    fun `a few slow answers more are not doubtful`(slow: Long, timed: Long, usualSlow: Long, usualTimed: Long) {
+        assertNull(RolloutDoubt.of(speed(slow, timed), speed(usualSlow, usualTimed)))
+    }
+
     @Test
     fun `a version that fails often is doubtful, and one with a few failures is not`() {
         val usual = RolloutObservations(answers = 200, errors = 4)
