Queries whose heads come in pieces, or that have a body, are answered again

Review of: a read that ended in the midst of a head brought no query, the flow control took that as the end of the demand, and nothing was read on: no answer to readiness, addresses or metrics for a caller whose head comes in two packets. The same for a head over the limit, for a body beyond the first read, and for the query after a refused body. The aggregator, which asks for the rest of a body by itself, also read on from callers that do not read their answers. Now the handler asks again after a read that brought nothing, takes one part at a time, and holds no body. A query that cannot be decoded ends its connection, as what follows it is not read.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/HttpListeners.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/HttpListeners.kt
@@ -16,22 +16,24 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.flow.FlowControlHandler
 import io.netty.handler.timeout.IdleStateHandler
 import io.quetzalfield.model.HostPort
 import java.util.concurrent.TimeUnit
 
 private const val BACKLOG = 1_024
-private const val QUERY_BODY_LIMIT = 8_192
+private const val QUERY_BODY_LIMIT = 8_192L
 private const val QUERY_IDLE_SECONDS = 15L
 
 /** Far longer than the head of a query; short enough for many connections at once. */
@@ -79,7 +81,6 @@
                 IdleStateHandler(0, 0, QUERY_IDLE_SECONDS, TimeUnit.SECONDS),
                 HttpRequestDecoder(HttpDecoderConfig().setMaxHeaderSize(QUERY_HEADER_LIMIT)),
                 HttpResponseEncoder(),
-                HttpObjectAggregator(QUERY_BODY_LIMIT),
                 FlowControlHandler(),
                 QueryHandler(answer),
             )
@@ -123,28 +124,63 @@
     }
 }
 
-private class QueryHandler(private val answer: (String) -> PlainAnswer?) :
-    SimpleChannelInboundHandler<FullHttpRequest>() {
-    override fun channelActive(context: ChannelHandlerContext) {
+/** Answers one query after the other; the next one is read when the answer has been written. Bodies are not held. */
+private class QueryHandler(private val answer: (String) -> PlainAnswer?) : SimpleChannelInboundHandler<HttpObject>() {
+    private var query: HttpRequest? = null
+    private var bodyBytes = 0L
+    private var isWaiting = false
+
+    override fun channelActive(context: ChannelHandlerContext): Unit = read(context)
+
+    private fun read(context: ChannelHandlerContext) {
+        isWaiting = true
         context.read()
     }
 
-    override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-        val plain = if (request.decoderResult().isFailure) PlainAnswer(BAD_REQUEST) else answer(request.uri())
-        val found = plain ?: PlainAnswer(NOT_FOUND)
-        val body = found.body?.let(Unpooled::wrappedBuffer) ?: Unpooled.EMPTY_BUFFER
+    /** A read that ended in the midst of a head has brought nothing, and has to be asked for again. */
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        if (isWaiting) context.read()
+    }
+
+    override fun channelRead0(context: ChannelHandlerContext, part: HttpObject) {
+        isWaiting = false
+        if (part.decoderResult().isFailure) return write(context, PlainAnswer(BAD_REQUEST), isKept = false)
+        if (part is HttpRequest) begin(context, part)
+        if (part is HttpContent) bodyBytes += part.content().readableBytes()
+        if (part is LastHttpContent) finish(context) else readNext(context)
+    }
+
+    private fun begin(context: ChannelHandlerContext, request: HttpRequest) {
+        query = request
+        bodyBytes = 0
+        if (!HttpUtil.is100ContinueExpected(request)) return
+        context.writeAndFlush(
+            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
+        )
+    }
+
+    private fun finish(context: ChannelHandlerContext) {
+        val request = checkNotNull(query) { "a body without a head" }
+        val plain = if (bodyBytes > QUERY_BODY_LIMIT) PlainAnswer(BODY_TOO_LARGE) else answer(request.uri())
+        write(context, plain ?: PlainAnswer(NOT_FOUND), HttpUtil.isKeepAlive(request))
+    }
+
+    private fun write(context: ChannelHandlerContext, answer: PlainAnswer, isKept: Boolean) {
+        val body = answer.body?.let(Unpooled::wrappedBuffer) ?: Unpooled.EMPTY_BUFFER
         val response =
-            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(found.status), body)
-        found.contentType?.let { response.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
+            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status), body)
+        answer.contentType?.let { response.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
         HttpUtil.setContentLength(response, body.readableBytes().toLong())
-        val isKept = HttpUtil.isKeepAlive(request)
         HttpUtil.setKeepAlive(response, isKept)
         val written = context.writeAndFlush(response)
         written.addListener(if (isKept) ChannelFutureListener { readNext(context) } else ChannelFutureListener.CLOSE)
     }
 
-    /** Lets other connections have a turn before the next query of this one, which may have been read already. */
-    private fun readNext(context: ChannelHandlerContext) = context.executor().execute { context.read() }
+    /**
+     * Lets other connections have a turn before this one goes on. The rest of what was read is known by then, so that
+     * the socket, and with it the caller's close, is read only when all of it has been answered.
+     */
+    private fun readNext(context: ChannelHandlerContext) = context.executor().execute { read(context) }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
         context.close()
@@ -158,5 +194,6 @@
     private companion object {
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
+        const val BODY_TOO_LARGE = 413
     }
 }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/http/HttpListenersTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/http/HttpListenersTest.kt
@@ -8,6 +8,8 @@
 import org.junit.jupiter.api.Test
 import java.net.InetSocketAddress
 import java.net.Socket
+import java.nio.ByteBuffer
+import java.nio.channels.SocketChannel
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import kotlin.test.assertEquals
@@ -20,7 +22,7 @@
     private val port = (
         HttpListeners(group).listenForQueries(HostPort("127.0.0.1", 0)) {
             queries += it
-            PlainAnswer(200)
+            PlainAnswer(200, body = if (it == "/large") ByteArray(LARGE_ANSWER) else null)
         }.localAddress() as InetSocketAddress
         ).port
 
@@ -72,7 +74,87 @@
         }
     }
 
+    /** What a caller may send beside queries without bodies; each is followed by an ordinary query. */
+    @Nested
+    inner class Unusual {
+        private fun statusesOf(text: String): List<String> = Socket("127.0.0.1", port).use {
+            it.soTimeout = 5_000
+            it.getOutputStream().write(text.toByteArray())
+            it.send("/ordinary")
+            it.shutdownOutput()
+            it.getInputStream().bufferedReader().readLines().filter { line -> line.startsWith("HTTP/1.1 ") }
+                .map { line -> line.split(' ')[1] }
+        }
+
+        private fun post(size: Int, headers: String = "") =
+            "POST /body HTTP/1.1\r\n${headers}Content-Length: $size\r\n\r\n${"b".repeat(size)}"
+
+        @Test
+        fun `a query with a body is answered`() {
+            assertEquals(listOf("200", "200"), statusesOf(post(6_000)))
+            assertEquals(
+                listOf("200", "200"),
+                statusesOf("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\n"),
+            )
+        }
+
+        @Test
+        fun `a caller that waits before it sends a body is told to go on`() =
+            assertEquals(listOf("100", "200", "200"), statusesOf(post(10, "Expect: 100-continue\r\n")))
+
+        @Test
+        fun `a body over the limit is refused and the next query answered`() =
+            assertEquals(listOf("413", "200"), statusesOf(post(20_000)))
+
+        @Test
+        fun `a head over the limit is refused and ends the connection`() =
+            assertEquals(listOf("400"), statusesOf("GET / HTTP/1.1\r\nA: ${"a".repeat(5_000)}\r\n\r\n"))
+
+        @Test
+        fun `a query that comes in pieces is answered`() = connect().use {
+            for (piece in "GET / HTTP/1.1\r\nA: b\r\n\r\n".chunked(5)) {
+                it.getOutputStream().write(piece.toByteArray())
+                Thread.sleep(20)
+            }
+            it.soTimeout = 5_000
+            assertEquals("200", it.readStatus())
+        }
+
+        @Test
+        fun `a query that ends its connection does so`() =
+            assertEquals(listOf("200"), statusesOf("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"))
+
+        @Test
+        fun `a large answer is whole though the caller has closed its side`() = connect().use {
+            it.send("/large")
+            it.shutdownOutput()
+            assertTrue(it.getInputStream().readAllBytes().size > LARGE_ANSWER)
+        }
+
+        @Test
+        fun `a caller that does not read its answers is not read on`() {
+            SocketChannel.open(InetSocketAddress("127.0.0.1", port)).use { channel ->
+                channel.configureBlocking(false)
+                // Each read ends in the midst of a body.
+                val withBody = post(READ_BYTES - post(1_000).length + 1_000)
+                val bytes = ("GET /large HTTP/1.1\r\n\r\n" + withBody.repeat(SENT_AHEAD * 4)).toByteArray()
+                val text = ByteBuffer.wrap(bytes)
+                var turnsWithoutProgress = 0
+                while (text.hasRemaining() && turnsWithoutProgress < 100) {
+                    turnsWithoutProgress = if (channel.write(text) > 0) 0 else turnsWithoutProgress + 1
+                    if (turnsWithoutProgress > 0) Thread.sleep(10)
+                }
+                assertTrue(text.position() < MOST_BYTES_ACCEPTED, "${text.position()} of ${bytes.size} bytes")
+            }
+        }
+    }
+
     private companion object {
+        /** More than the buffers of a connection hold. */
+        const val LARGE_ANSWER = 20_000_000
+        const val READ_BYTES = 4_096
+        const val MOST_BYTES_ACCEPTED = 30_000_000
+
         const val SENT_AHEAD = 5_000
 
         /** As many as a read of some kilobytes can hold. */
