After a gap, the first confirmation contains the operator's orders

An instance that was cut off from the store, or paused, had its configuration confirmed by a read of that one key, while its watch could still hang on the old connection. It then ran requests without orders that were given in between: to the endpoints of an evacuated failure domain, up to the next answer of the watch.

--- a/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
@@ -30,8 +30,19 @@
     public fun onAvailable() {}
 }
 
-/** A [key] that is read every [period], because a watch without events does not prove that nothing changed. */
-public data class Confirmation(val key: String, val period: Duration)
+/**
+ * A [key] that is read every [period], because a watch without events does not prove that nothing changed. After a
+ * [gap][isGap] the whole part is listed instead: the watch may still hang on a connection that no longer exists, and
+ * then knows nothing of the other keys.
+ */
+public data class Confirmation(val key: String, val period: Duration) {
+    /** Whether [silence] since the last confirmation is longer than calls that fail now and then explain. */
+    public fun isGap(silence: Duration): Boolean = silence > period * PERIODS_OF_A_GAP
+
+    private companion object {
+        const val PERIODS_OF_A_GAP = 4
+    }
+}
 
 /**
  * Intervals at which a part of the store is watched and read. Every call to the store has a cost.
