Checkers for evacuated failure domains and cold endpoints

They judge by what endpoints and the operator saw: nothing reaches an endpoint of an evacuated failure domain after the bound, from any instance; no cold endpoint gets more in a second than it bears. Only what was sent and arrived within the second counts. PromiseCheckersTest: each rejects broken variants one millisecond inside its bound, accepts requests at the bound, and has nothing to check without orders or cold endpoints.

--- a/history/src/main/kotlin/io/quetzalfield/history/History.kt
+++ b/history/src/main/kotlin/io/quetzalfield/history/History.kt
@@ -15,6 +15,7 @@
 
 private const val DEFAULT_LISTS_BOUND_MILLISECONDS = 5_000L
 private const val DEFAULT_LEAVING_BOUND_MILLISECONDS = 3_000L
+private const val DEFAULT_EVACUATION_BOUND_MILLISECONDS = 5_000L
 
 /** The name of the format in the header of a recorded history. */
 public const val HISTORY_FORMAT: String = "quetzalfield-history"
@@ -27,6 +28,7 @@
  *
  * @property listsBoundMilliseconds time within which an accepted change is in force at every entry.
  * @property leavingBoundMilliseconds time after which a leaving endpoint gets no new work.
+ * @property evacuationBoundMilliseconds time after which the endpoints of an evacuated failure domain get nothing.
  */
 @Serializable
 public data class HistoryHeader(
@@ -34,9 +36,12 @@
     @Required val version: Int = HISTORY_VERSION,
     @SerialName("lists_bound_milliseconds") val listsBoundMilliseconds: Long = DEFAULT_LISTS_BOUND_MILLISECONDS,
     @SerialName("leaving_bound_milliseconds") val leavingBoundMilliseconds: Long = DEFAULT_LEAVING_BOUND_MILLISECONDS,
+    @SerialName("evacuation_bound_milliseconds")
+    val evacuationBoundMilliseconds: Long = DEFAULT_EVACUATION_BOUND_MILLISECONDS,
 ) {
     internal val listsBound: Duration get() = listsBoundMilliseconds.milliseconds
     internal val leavingBound: Duration get() = leavingBoundMilliseconds.milliseconds
+    internal val evacuationBound: Duration get() = evacuationBoundMilliseconds.milliseconds
 }
 
 /** The events that callers, endpoints, operators and the platform observed, ordered by time. */
--- a/history/src/main/kotlin/io/quetzalfield/history/HistoryEvent.kt
+++ b/history/src/main/kotlin/io/quetzalfield/history/HistoryEvent.kt
@@ -2,6 +2,7 @@
 
 import io.quetzalfield.model.AttemptId
 import io.quetzalfield.model.ClientAccountId
+import io.quetzalfield.model.FailureDomainId
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceId
 import io.quetzalfield.model.ListsRevision
@@ -102,6 +103,45 @@
     @SerialName("leaving_announced")
     public data class LeavingAnnounced(override val at: HistoryTime, val endpoint: InstanceId) : HistoryEvent
 
+    /** The platform accepted the operator's order that the endpoints of [domain] get nothing. */
+    @Serializable
+    @SerialName("evacuation_ordered")
+    public data class EvacuationOrdered(override val at: HistoryTime, val domain: FailureDomainId) : HistoryEvent
+
+    /** The operator took back the order to evacuate [domain]. */
+    @Serializable
+    @SerialName("evacuation_ended")
+    public data class EvacuationEnded(override val at: HistoryTime, val domain: FailureDomainId) : HistoryEvent
+
+    /**
+     * [endpoint] became cold and stays so until [until].
+     *
+     * @property requestsPerSecond most requests in one second that the configuration allows a cold endpoint.
+     */
+    @Serializable
+    @SerialName("endpoint_cold")
+    public data class EndpointCold(
+        override val at: HistoryTime,
+        val endpoint: InstanceId,
+        val until: HistoryTime,
+        val requestsPerSecond: Int,
+    ) : HistoryEvent
+
+    /**
+     * A request reached [endpoint], whatever it did with it.
+     *
+     * @property sentAt time at which [sender] wrote it.
+     */
+    @Serializable
+    @SerialName("request_arrived")
+    public data class RequestArrived(
+        override val at: HistoryTime,
+        val endpoint: InstanceId,
+        val domain: FailureDomainId,
+        val sender: Incarnation,
+        val sentAt: HistoryTime = at,
+    ) : HistoryEvent
+
     /** [entry] was requested to shut down gracefully. */
     @Serializable
     @SerialName("shutdown_started")
--- a/history/src/main/kotlin/io/quetzalfield/history/HistoryFile.kt
+++ b/history/src/main/kotlin/io/quetzalfield/history/HistoryFile.kt
@@ -63,6 +63,13 @@
         HistoryError(1, "leaving_bound_milliseconds", "is ${header.leavingBoundMilliseconds}; allowed: 0 or more")
             .left()
 
+    header.evacuationBoundMilliseconds < 0 ->
+        HistoryError(
+            1,
+            "evacuation_bound_milliseconds",
+            "is ${header.evacuationBoundMilliseconds}; allowed: 0 or more",
+        ).left()
+
     else -> header.right()
 }
 
--- a/history/src/main/kotlin/io/quetzalfield/history/Verdict.kt
+++ b/history/src/main/kotlin/io/quetzalfield/history/Verdict.kt
@@ -12,6 +12,8 @@
     LEAVING_ENDPOINT_IDLE("a leaving endpoint gets no new work after a bound"),
     SHUTDOWN_CUTS_NOTHING("a graceful shutdown cuts no request"),
     LISTS_IN_FORCE("an accepted change is in force everywhere within a bound and never reverts"),
+    EVACUATED_DOMAIN_IDLE("the endpoints of an evacuated failure domain get nothing after a bound"),
+    COLD_ENDPOINT_SPARED("a cold endpoint gets no more requests in a second than it bears"),
 }
 
 /** A violation of [promise] by [subject]: a request key, an entry, an endpoint or an account. */
@@ -69,6 +71,8 @@
     leavingEndpointChecker,
     shutdownChecker,
     listsChecker,
+    evacuationChecker,
+    coldEndpointChecker,
 )
 
 /** The verdict of every checker on [history], in the order of [Promise]. */
--- a/history/src/test/kotlin/io/quetzalfield/history/HistoryFileTest.kt
+++ b/history/src/test/kotlin/io/quetzalfield/history/HistoryFileTest.kt
@@ -24,6 +24,8 @@
             header.replace(HISTORY_FORMAT, "other") to (1 to "format"),
             header.replace("\"version\":1", "\"version\":9") to (1 to "version"),
             header.replace("3000", "-1") to (1 to "leaving_bound_milliseconds"),
+            header.replace("evacuation_bound_milliseconds\":5000", "evacuation_bound_milliseconds\":-1") to
+                (1 to "evacuation_bound_milliseconds"),
             header.replace("\"format\"", "\"color\"") to (1 to "color"),
             "$header\n{\"event\":\"leaving_announced\",\"at\":1}" to (2 to "endpoint"),
             "$header\n{\"event\":\"leaving_announced\",\"at\":\"x\",\"endpoint\":\"r\"}" to (2 to "at"),
--- a/history/src/test/kotlin/io/quetzalfield/history/PromiseCheckersTest.kt
+++ b/history/src/test/kotlin/io/quetzalfield/history/PromiseCheckersTest.kt
@@ -4,6 +4,8 @@
 import io.quetzalfield.history.CallerOutcome.Cut
 import io.quetzalfield.history.CallerOutcome.NotRun
 import io.quetzalfield.history.HistoryEvent.BillsStored
+import io.quetzalfield.history.HistoryEvent.EndpointCold
+import io.quetzalfield.history.HistoryEvent.EvacuationOrdered
 import io.quetzalfield.history.HistoryEvent.LeavingAnnounced
 import io.quetzalfield.history.HistoryEvent.ListsAccepted
 import io.quetzalfield.history.HistoryEvent.RequestEnded
@@ -12,6 +14,7 @@
 import io.quetzalfield.history.HistoryEvent.RunStarted
 import io.quetzalfield.history.HistoryEvent.SessionOpened
 import io.quetzalfield.history.HistoryEvent.ShutdownStarted
+import io.quetzalfield.model.FailureDomainId
 import io.quetzalfield.model.RequestId
 import io.quetzalfield.model.SessionId
 import io.quetzalfield.model.VersionState
@@ -108,6 +111,21 @@
             Promise.LISTS_IN_FORCE,
             plus(ListsAccepted(at(24_000), lists(3)), ListsAccepted(at(24_001), lists(3))),
         ),
+        BrokenVariant(
+            "an evacuated failure domain given a request just after the bound",
+            Promise.EVACUATED_DOMAIN_IDLE,
+            plus(arrived(36_001, "runner-3", "east", entryTwo)),
+        ),
+        BrokenVariant(
+            "a second order that is not followed",
+            Promise.EVACUATED_DOMAIN_IDLE,
+            plus(EvacuationOrdered(at(60_000), FailureDomainId("east")), arrived(65_001, "runner-3", "east")),
+        ),
+        BrokenVariant(
+            "a cold endpoint given one request more than it bears",
+            Promise.COLD_ENDPOINT_SPARED,
+            plus(arrived(51_289, "runner-3", "east")),
+        ),
     )
 
     /** The kinds of events without which a promise has nothing to check. */
@@ -122,6 +140,8 @@
         Promise.LEAVING_ENDPOINT_IDLE to LeavingAnnounced::class,
         Promise.SHUTDOWN_CUTS_NOTHING to ShutdownStarted::class,
         Promise.LISTS_IN_FORCE to RevisionSeen::class,
+        Promise.EVACUATED_DOMAIN_IDLE to EvacuationOrdered::class,
+        Promise.COLD_ENDPOINT_SPARED to EndpointCold::class,
     )
 
     @Nested
@@ -147,6 +167,16 @@
             for (answers in 2L..3L) assertIs<Verdict.Holds>(verdict(Promise.BILLED_ONCE, cut + billed(answers)))
         }
 
+        @Test
+        fun `requests at the bound of an evacuation and of a cold endpoint are valid`() {
+            val atBounds = plus(
+                arrived(36_000, "runner-3", "east"),
+                arrived(51_290, "runner-3", "east"),
+            )
+            assertIs<Verdict.Holds>(verdict(Promise.EVACUATED_DOMAIN_IDLE, atBounds))
+            assertIs<Verdict.Holds>(verdict(Promise.COLD_ENDPOINT_SPARED, atBounds))
+        }
+
         @Test
         fun `a refused send is valid if another send of the same key runs`() {
             val events = plus(
--- a/history/src/test/kotlin/io/quetzalfield/history/ValidHistory.kt
+++ b/history/src/test/kotlin/io/quetzalfield/history/ValidHistory.kt
@@ -2,8 +2,12 @@
 
 import io.quetzalfield.history.CallerOutcome.Answered
 import io.quetzalfield.history.HistoryEvent.BillsStored
+import io.quetzalfield.history.HistoryEvent.EndpointCold
+import io.quetzalfield.history.HistoryEvent.EvacuationEnded
+import io.quetzalfield.history.HistoryEvent.EvacuationOrdered
 import io.quetzalfield.history.HistoryEvent.LeavingAnnounced
 import io.quetzalfield.history.HistoryEvent.ListsAccepted
+import io.quetzalfield.history.HistoryEvent.RequestArrived
 import io.quetzalfield.history.HistoryEvent.RequestEnded
 import io.quetzalfield.history.HistoryEvent.RequestSent
 import io.quetzalfield.history.HistoryEvent.RevisionSeen
@@ -15,6 +19,7 @@
 import io.quetzalfield.model.ClientAccount
 import io.quetzalfield.model.ClientAccountId
 import io.quetzalfield.model.ClientPlanList
+import io.quetzalfield.model.FailureDomainId
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.model.InstanceId
 import io.quetzalfield.model.ListsRevision
@@ -95,6 +100,14 @@
 internal fun billed(answers: Long, priceMicros: Long = answers * 10) =
     BillsStored(at(40_000), workshop, answers, priceMicros)
 
+internal fun arrived(
+    time: Long,
+    endpoint: String,
+    domain: String,
+    entry: Incarnation = entryOne,
+    sentAt: Long = time - 10,
+) = RequestArrived(at(time), InstanceId(endpoint), FailureDomainId(domain), entry, at(sentAt))
+
 /** A history in which every promise has a case and holds. */
 internal val validEvents: List<HistoryEvent> = listOf(
     ListsAccepted(at(0), lists(1)),
@@ -125,4 +138,16 @@
     ended(30_500, "last", answered("last")),
     ShutdownEnded(at(31_000), entryOne),
     billed(answers = 3),
+    EvacuationOrdered(at(31_000), FailureDomainId("east")),
+    arrived(35_990, "runner-3", "east"),
+    arrived(36_100, "runner-4", "west"),
+    EvacuationEnded(at(50_000), FailureDomainId("east")),
+    EndpointCold(at(50_000), InstanceId("runner-3"), until = at(55_000), requestsPerSecond = 3),
+    arrived(50_100, "runner-3", "east", sentAt = 49_999),
+    arrived(50_200, "runner-3", "east"),
+    arrived(50_300, "runner-3", "east", entryTwo),
+    arrived(50_400, "runner-3", "east"),
+    arrived(51_190, "runner-3", "east", entryTwo),
+    arrived(55_000, "runner-3", "east"),
+    arrived(55_001, "runner-3", "east"),
 )
