--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/LimitHistoryTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/LimitHistoryTest.kt
@@ -213,11 +213,6 @@
         assertEquals(emptyList(), violations(size, 1..seeds, ::HolderDivision))
     }
 
-    /** Every instance uses the whole limit, as if it were alone. */
-    private object UndividedLimit : LimitDivision {
-        override fun partOf(endpoint: EndpointId, requestsPerSecond: Double, sharers: LimitSharers) = requestsPerSecond
-    }
-
     /** An instance uses the whole limit while it is not listed, as if it were alone. */
     private class WholeWhileUnlisted : LimitDivision {
         private val divided = HolderDivision()
@@ -234,3 +229,8 @@
     fun `the histories reject instances that use the whole limit while they are not listed`() =
         assertTrue(violations(size = 26, 1..4, ::WholeWhileUnlisted).isNotEmpty())
 }
+
+/** Every instance uses the whole limit, as if it were alone. */
+internal object UndividedLimit : LimitDivision {
+    override fun partOf(endpoint: EndpointId, requestsPerSecond: Double, sharers: LimitSharers) = requestsPerSecond
+}
