A roll-out onto cold endpoints sends the rest of its share to the version before

The endpoints of a new version all start cold, and what the limit held back of the share was refused, though the version before had room. Now a request of the share that belongs to no session runs there at once; sessions are not moved, and no request of the version before runs on the new one.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/VersionSplit.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/VersionSplit.kt
@@ -119,6 +119,26 @@
         }
     }
 
+    /**
+     * Returns the result of [filter], or, while none of it [isOpen], the open endpoints of the other versions if
+     * [subject] is a request outside sessions that belongs to the share of a running roll-out.
+     *
+     * Load pattern: the endpoints of a new version have all just started and are cold, so that they take fewer requests
+     * than the share contains. A request of the share may always run on the version before.
+     */
+    public fun filterOpen(
+        service: ServiceId,
+        subject: RolloutSubject,
+        candidates: List<Endpoint>,
+        isOpen: (Endpoint) -> Boolean,
+    ): List<Endpoint> {
+        val chosen = filter(service, subject, candidates)
+        val target = runningStepOf(service)?.target
+        val isOfShare = !subject.isSession && target != null && chosen.any { it.description.version == target }
+        if (!isOfShare || chosen.any(isOpen)) return chosen
+        return candidates.filter { it.description.version != target && isOpen(it) }.ifEmpty { chosen }
+    }
+
     private fun goesToTarget(step: RolloutStep, subject: RolloutSubject): Boolean = when {
         step.phase == RolloutPhase.REVERTED -> false
         step.isAtFirstShare && subject.isSession && staysOnPrevious(step, subject.hash) -> false
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointCandidates.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointCandidates.kt
@@ -27,7 +27,8 @@
     val all: List<Endpoint>
         get() {
             val eligible = context.endpoints.eligible(service)
-            val chosen = context.versions.filter(service, subject, eligible).ofStreamVersion()
+            val isOpen = context.limits::mayReceive
+            val chosen = context.versions.filterOpen(service, subject, eligible, isOpen).ofStreamVersion()
             val allowed = if (failedVersions.isEmpty()) chosen else withoutFailedVersion(chosen, eligible)
             return allowed.ifEmpty { lastResort(eligible) }
         }
