A connection that a process takes as it ends does not show that it lives on

Cause: an answer without a length was passed on as whole if its endpoint took another connection. A reset while the connection was being opened counted as no answer, which passed the answer on as well. Change: the connection must stay open for 25 ms, and a reset while it is opened is a refusal. Only successes without length or chunks that end with their connection wait for it. Tests: two new ones in EndpointConnectionsTest failed before, one for each part: null and TIMED_OUT instead of REFUSED.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Attempt.kt
@@ -8,6 +8,7 @@
 import io.quetzalfield.forwarding.endpoints.Endpoint
 import io.quetzalfield.model.ModelId
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** One send of [request] to the endpoint of [placement]. Used on the event loop only. */
@@ -302,7 +303,7 @@
     private fun checkEndpointOutlives(decoded: ResponseHead) {
         if (!endpoint.isEligible) return complete(decoded)
         silence.close()
-        context.connections.probe(endpoint.description.address) { failure ->
+        context.connections.probe(endpoint.description.address, EndOfProcess) { failure ->
             when {
                 isOver -> Unit
                 failure == ConnectFailure.REFUSED -> fail("the endpoint ended with a response without length")
@@ -391,5 +392,8 @@
 
         /** Time from the first event of an answer within which a request ends the endpoint, if it does. */
         val StartOfAnswer = 1.seconds
+
+        /** Time within which the operating system closes all sockets of a process that ends. */
+        val EndOfProcess = 25.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
@@ -8,9 +8,11 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.quetzalfield.forwarding.UnexpectedBytes
+import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.HostPort
 import jdk.net.ExtendedSocketOptions
 import java.net.ConnectException
+import java.net.SocketException
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -109,15 +111,28 @@
     /**
      * Connects to [address] and calls [onResult] with the failure, or with `null` if it accepts the connection, which
      * is kept for later requests.
+     *
+     * @param staysOpenFor how long the connection must stay open to count as accepted. The operating system may take
+     * connections to a process that ends until it closes the listening socket, which resets them.
      */
-    public fun probe(address: HostPort, onResult: (ConnectFailure?) -> Unit) {
+    public fun probe(address: HostPort, staysOpenFor: Duration = Duration.ZERO, onResult: (ConnectFailure?) -> Unit) {
         val pool = pools.getOrPut(address, ::Pool)
         open(address, pool, onFailure = onResult) { connection ->
-            keep(connection)
-            onResult(null)
+            if (staysOpenFor > Duration.ZERO) {
+                eventLoop.schedule(staysOpenFor) { onResult(keepIfOpen(connection)) }
+            } else {
+                keep(connection)
+                onResult(null)
+            }
         }
     }
 
+    private fun keepIfOpen(connection: EndpointConnection): ConnectFailure? {
+        if (!connection.channel.isActive) return ConnectFailure.REFUSED
+        keep(connection)
+        return null
+    }
+
     private fun Pool.takeIdle(idleFraction: Double, excluded: Set<EndpointConnection>): EndpointConnection? {
         val now = timeSource.markNow()
         while (true) {
@@ -167,12 +182,14 @@
         }
     }
 
-    private fun failureOf(cause: Throwable?): ConnectFailure =
-        if (cause is ConnectException && cause !is ConnectTimeoutException) {
-            ConnectFailure.REFUSED
-        } else {
-            ConnectFailure.TIMED_OUT
-        }
+    private fun failureOf(cause: Throwable?): ConnectFailure = when {
+        cause is ConnectException && cause !is ConnectTimeoutException -> ConnectFailure.REFUSED
+
+        // The listening socket was closed while the connection waited there. The JDK has no exception for it.
+        cause is SocketException && cause.message.orEmpty().contains("reset") -> ConnectFailure.REFUSED
+
+        else -> ConnectFailure.TIMED_OUT
+    }
 
     private fun remove(pool: Pool, closed: EndpointConnection) {
         pool.open--
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/http/EndpointConnectionsTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/http/EndpointConnectionsTest.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.quetzalfield.model.HostPort
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -18,6 +19,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
 
 class EndpointConnectionsTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -91,4 +93,44 @@
         exchange().get(2, TimeUnit.SECONDS)
         assertEquals(1, opened, "connections")
     }
+
+    /** What a connection to [address] shows; [whileConnecting] is called as it has been asked for. */
+    private fun probe(
+        address: HostPort,
+        connections: EndpointConnections = this.connections,
+        whileConnecting: () -> Unit = {},
+    ): ConnectFailure? {
+        val result = CompletableFuture<ConnectFailure?>()
+        group.next().execute {
+            connections.probe(address, staysOpenFor = 25.milliseconds) { result.complete(it) }
+            // The attempt to connect begins in a task of its own.
+            group.next().execute(whileConnecting)
+        }
+        return result.get(2, TimeUnit.SECONDS)
+    }
+
+    /** The operating system closes the sockets of a process one after another, the listening one often last. */
+    @Nested
+    inner class EndsOfProcesses {
+        private val ending = ServerSocket(0, 10, InetAddress.getLoopbackAddress())
+        private val endingAddress = HostPort("127.0.0.1", ending.localPort)
+
+        @Test
+        fun `a connection that is reset before it is taken does not show that the endpoint lives on`() {
+            val connections = EndpointConnections(group.next(), onOpened = ending::close)
+            assertEquals(ConnectFailure.REFUSED, probe(endingAddress, connections))
+        }
+
+        @Test
+        fun `neither does one that is reset while it is being opened`() {
+            assertEquals(ConnectFailure.REFUSED, probe(endingAddress, whileConnecting = ending::close))
+        }
+
+        @Test
+        fun `the connection to an endpoint that lives on is kept`() {
+            assertEquals(null, probe(address))
+            exchange().get(2, TimeUnit.SECONDS)
+            assertEquals(1, opened, "connections")
+        }
+    }
 }
