An instance is ready only when it has read the endpoints

Cause: an instance counted as ready, and took requests, once it had read the configuration, the other instances and the orders to evacuate; a request that came before the entries of the endpoints was refused with 503, as if there were none. Change: it also waits for the first list of the endpoints, also if that is empty.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/PlatformFeed.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/PlatformFeed.kt
@@ -35,6 +35,7 @@
 
     override fun onEndpointsRead(endpoints: List<EndpointDescription>) = eventLoop.execute {
         endpoints.forEach(::updateEndpoint)
+        context.areEndpointsKnown = true
         val vanished = context.endpoints.retainOnly(endpoints.mapTo(HashSet()) { it.id })
         if (vanished.isNotEmpty()) DecisionLog.write("endpoints", "listed" to endpoints.size, "vanished" to vanished)
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -154,6 +154,7 @@
     public fun start() {
         context.isFleetKnown = false
         context.areEvacuationsKnown = false
+        context.areEndpointsKnown = false
         DecisionLog.write("start", "incarnation" to incarnation, "address" to settings.callerAddress)
         DecisionLog.write("intake_limits", "limits" to settings.intakeLimits)
         val listeners = HttpListeners(group, settings.intakeLimits.queryConnections)
@@ -230,8 +231,7 @@
     private var callerListener: Channel? = null
 
     private val isReady: Boolean
-        get() = !isStopping && context.configuration.current != null && context.isFleetKnown &&
-            context.areEvacuationsKnown && context.isConfigurationCurrent
+        get() = !isStopping && context.isStateKnown && context.isConfigurationCurrent
 
     private fun coldRate(service: ServiceId): Double? = context.coldRate(service)
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/Exchange.kt
@@ -41,13 +41,8 @@
         val configuration = context.configuration.current
         when {
             context.isRefusing -> refuse(AnswerReason.SHUTTING_DOWN)
-
-            configuration == null || !context.isFleetKnown || !context.areEvacuationsKnown -> refuse(
-                AnswerReason.NO_CONFIGURATION,
-            )
-
+            configuration == null || !context.isStateKnown -> refuse(AnswerReason.NO_CONFIGURATION)
             !context.isConfigurationCurrent -> refuse(AnswerReason.CONFIGURATION_UNCONFIRMED)
-
             else -> admit(configuration)
         }
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/RoutingContext.kt
@@ -81,6 +81,13 @@
     /** Whether the operator's orders to evacuate failure domains have been read. */
     public var areEvacuationsKnown: Boolean = true
 
+    /** Whether the entries of the endpoints have been read; without them, every request would be refused. */
+    public var areEndpointsKnown: Boolean = true
+
+    /** Whether everything has been read that requests depend on. */
+    public val isStateKnown: Boolean
+        get() = configuration.current != null && isFleetKnown && areEvacuationsKnown && areEndpointsKnown
+
     /** Whether this instance is shutting down; answers then ask callers to close their connections. */
     public var isShuttingDown: Boolean = false
 
