quetzalfield apply reads the stored lists again while the store does not answer

Cause: apply ended with exit code 4 if its first read got no answer within the 2 s of a call, although it may wait for 10 s afterwards. On a busy machine the first call to a store that has just started takes longer: "the fleet did not start: /v3/kv/range: timeout" is the message of that command, the first that the fleets of the tests run. A read has no effect; writes are repeated as before.

--- a/operator/src/main/kotlin/io/quetzalfield/operator/ListsStore.kt
+++ b/operator/src/main/kotlin/io/quetzalfield/operator/ListsStore.kt
@@ -12,6 +12,10 @@
 import io.quetzalfield.store.StoreRevision
 import io.quetzalfield.store.StoredValue
 import io.quetzalfield.store.SwapResult
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /** The stored lists, with the store revision that a replacement must expect. */
 public data class StoredLists(val lists: OperatorLists?, val storeRevision: StoreRevision) {
@@ -32,10 +36,25 @@
 }
 
 /** Reads and replaces the lists in the platform's key-value service. */
-public class ListsStore(private val store: KeyValueStore) {
+public class ListsStore(
+    private val store: KeyValueStore,
+    private val timeSource: TimeSource = TimeSource.Monotonic,
+    private val pause: (Duration) -> Unit = { TimeUnit.MILLISECONDS.sleep(it.inWholeMilliseconds) },
+) {
     /** The lists that are stored now. */
     public fun read(): Either<KeyValueError, StoredLists> = store.read(LISTS_KEY).map { it.toStoredLists() }
 
+    /** The lists that are stored now; a read that fails is tried again until [timeout] has passed. */
+    public fun readWithin(timeout: Duration): Either<KeyValueError, StoredLists> {
+        val deadline = timeSource.markNow() + timeout
+        var result = read()
+        while (result.isLeft() && deadline.hasNotPassedNow()) {
+            pause(ReadPause)
+            result = read()
+        }
+        return result
+    }
+
     /**
      * Replaces [base] with [lists]. If the answer is lost, the write is retried. Each attempt expects the same store
      * revision, so that the write takes effect at most once, and a conflict shows whether an earlier attempt succeeded.
@@ -81,5 +100,6 @@
 
     private companion object {
         const val ATTEMPTS = 3
+        val ReadPause: Duration = 100.milliseconds
     }
 }
--- a/operator/src/test/kotlin/io/quetzalfield/operator/ListsStoreTest.kt
+++ b/operator/src/test/kotlin/io/quetzalfield/operator/ListsStoreTest.kt
@@ -15,12 +15,16 @@
 import io.quetzalfield.store.LeaseId
 import io.quetzalfield.store.PlatformJson
 import io.quetzalfield.store.StoreRevision
+import io.quetzalfield.store.StoredValue
 import io.quetzalfield.store.SwapResult
 import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
 
 class ListsStoreTest {
     private val store = InMemoryKeyValueStore()
@@ -81,6 +85,34 @@
         }
     }
 
+    @Nested
+    inner class SlowStore {
+        private val time = TestTimeSource()
+        private var isLate = 0
+
+        /** Does not answer the first [isLate] reads within the time of a call. */
+        private val slow = object : KeyValueStore by store {
+            override fun read(key: String): Either<KeyValueError, StoredValue?> =
+                if (isLate-- > 0) KeyValueError.OutcomeUnknown("timeout").left() else store.read(key)
+        }
+
+        private fun readWithin(timeout: Duration) = ListsStore(slow, time, pause = time::plusAssign).readWithin(timeout)
+
+        @Test
+        fun `a read without an answer is tried again`() {
+            writeAsAnother(listsAt(1, "a"))
+            isLate = 3
+            assertEquals(listsAt(1, "a"), readWithin(10.seconds).getOrNull()?.lists)
+        }
+
+        @Test
+        fun `it is not tried again after the timeout`() {
+            isLate = Int.MAX_VALUE
+            assertEquals(KeyValueError.OutcomeUnknown("timeout"), readWithin(1.seconds).leftOrNull())
+            assertEquals(11, Int.MAX_VALUE - isLate)
+        }
+    }
+
     /** Loses the answer to the first write, and runs [meanwhile] after that write. */
     private class LosesOneAnswer(private val store: KeyValueStore, private val meanwhile: () -> Unit) :
         KeyValueStore by store {
