Stand-ins for runners and services are listed by a platform that answers late

Cause: they announced themselves once and did not look at the outcome. Where the platform did not answer within the 3 s of a call, the runner was never listed and its fleet never ready ("the fleet was not ready within 30 s"). Entries and stewards announce themselves again with each refresh. Change: the stand-ins announce themselves until the platform has answered, and print why it did not.

--- a/standins/src/main/kotlin/io/quetzalfield/standins/Main.kt
+++ b/standins/src/main/kotlin/io/quetzalfield/standins/Main.kt
@@ -57,7 +57,7 @@
     protected val failureDomain by option("--failure-domain").default("domain-1")
 
     protected fun list(instance: ListedInstance) {
-        HttpInstanceDirectory(platform).announce(instance)
+        HttpInstanceDirectory(platform).announceUntilListed(instance, onFailure = { echo(it, err = true) })
         echo("${instance.kind.name.lowercase()} ${instance.id} at ${instance.address}")
     }
 }
