--- a/distribution/src/test/kotlin/io/quetzalfield/distribution/SmallFleet.kt
+++ b/distribution/src/test/kotlin/io/quetzalfield/distribution/SmallFleet.kt
@@ -14,10 +14,22 @@
 /** A platform stand-in, two entries, a steward, three runners and a service, each in a separate process. */
 internal class SmallFleet : AutoCloseable {
     val processes = Processes()
-    val platform: String
-    val store: EtcdGatewayKeyValueStore
+    lateinit var platform: String
+        private set
+    lateinit var store: EtcdGatewayKeyValueStore
+        private set
 
     init {
+        @Suppress("TooGenericExceptionCaught") // The processes of a fleet that did not start must not go on.
+        try {
+            startAll()
+        } catch (error: RuntimeException) {
+            close()
+            throw error
+        }
+    }
+
+    private fun startAll() {
         val addressFile = processes.directory.resolve("platform")
         processes.start("platform", STAND_INS, "platform", "--address-file", "$addressFile")
         await("the platform has written its address") { Files.exists(addressFile) }
