--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/GatedFleet.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/GatedFleet.kt
@@ -253,7 +253,7 @@
 
         /** Longest time until a change of the store is read. */
         private val WatchDelay = 300.milliseconds
-        private val StoreConfirmation = Confirmation("op/config", period = 700.milliseconds)
+        private val StoreConfirmation = Confirmation("configuration", period = 700.milliseconds)
         private val ListingPeriod = 8.seconds
     }
 }
