--- a/review/standins-2/Front.java
+++ b/review/standins-2/Front.java
@@ -65,9 +65,10 @@
             "platform.ttl_min_ms=1000") + "\n";
     }
 
-    /** Waits until the process says that it is ready; returns whether it does within 30 s. */
-    boolean awaitReady() throws InterruptedException {
-        for (int i = 0; i < 300 && process.isAlive(); i++) {
+    /** Waits until the process says that it is ready; returns whether it does within the given time. */
+    boolean awaitReady(int seconds) throws InterruptedException {
+        long end = System.nanoTime() + seconds * 1_000_000_000L;
+        while (process.isAlive() && System.nanoTime() < end) {
             try (Socket socket = new Socket("127.0.0.1", readiness)) {
                 socket.setSoTimeout(1_000);
                 socket.getOutputStream().write(Message.encode("GET /readyz HTTP/1.1\r\nHost: front\r\n\r\n"));
--- a/review/standins-2/Scenario.java
+++ b/review/standins-2/Scenario.java
@@ -42,7 +42,7 @@
     /** Starts a front and waits until it is ready. */
     Front startFront(String name, int storePort, int memory) throws Exception {
         Front front = new Front(temporary, name, storePort, memory);
-        if (!front.awaitReady()) throw new IllegalStateException(name + " did not become ready");
+        if (!front.awaitReady(30)) throw new IllegalStateException(name + " did not become ready");
         record.write(name + " is ready");
         return front;
     }
--- a/review/standins-2/SpoiltAnswer.java
+++ b/review/standins-2/SpoiltAnswer.java
@@ -4,7 +4,7 @@
 /** A runner spoils one answer: the first line of the answer stands in its body again and again. */
 public final class SpoiltAnswer extends Scenario {
     private static final int SOUND_ANSWERS = 60;
-    private static final int BYTES = 131_072;
+    private static final int BYTES = 196_608;
     private static final int LATER_REQUESTS = 20;
 
     private SpoiltAnswer(String directory) throws Exception {
@@ -36,7 +36,7 @@
         }
         answered.await(CALL_TIMEOUT + 2_000, TimeUnit.MILLISECONDS);
         boolean isBroken = check.isBroken();
-        record.write("front-1 answers that it is ready again: " + front.awaitReady() + "; is alive: " + front.process.isAlive());
+        record.write("front-1 answers that it is ready again: " + front.awaitReady(60) + "; is alive: " + front.process.isAlive());
         return isBroken ? BROKEN : HELD;
     }
 }
