Take only an orderly close for the end of a response without length

Callers saw: the first part of an answer as a whole one, with a length that fitted it, after an endpoint had answered an upload at once without a length and reset the connection while the upload was still being written. A stream that was reset between two events looked complete, and was not resumed.

Cause: the response decoder takes any close of the channel for the end of a response without length. A read that meets a reset raises an exception first, which was handled; a write that meets one closes the channel without it, and the decoder then reported an end that was never sent.

Why this works: EndpointChannel records that the end of the input was read. The transport closes the channel when a write fails, so that a read after a reset can not return an end. The flag for resets that were read is gone: the listener has been told by then.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -76,7 +76,6 @@
 ) : ChannelInboundHandlerAdapter() {
     private var listener: ResponseListener? = null
     private var isSkipping = false
-    private var isReset = false
 
     /** Whether this instance has closed the connection, or its end was noted. */
     private var isEnding = false
@@ -182,10 +181,16 @@
             return
         }
         if (content.content().isReadable) current.onContent(content.content()) else content.release()
-        // The listener may have abandoned the connection. After a reset, the decoder reports an end that was not sent.
-        if (content is LastHttpContent && listener === current && !isReset) finish(current)
+        // The listener may have abandoned the connection.
+        if (content is LastHttpContent && listener === current && isEndSent()) finish(current)
     }
 
+    /**
+     * Whether the endpoint has sent the end of the response. The decoder takes any close for the end of one without
+     * length, also the close that follows when a write of the request meets a reset.
+     */
+    private fun isEndSent() = !endsWithConnection || (channel as EndpointChannel).isInputEnded
+
     private fun finish(current: ResponseListener) {
         listener = null
         hasCarriedResponse = true
@@ -206,7 +211,6 @@
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        isReset = true
         noteBreak()
         fail(cause.message ?: cause.javaClass.simpleName, isConnectionLost = true)
     }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnections.kt
@@ -6,7 +6,6 @@
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
-import io.netty.channel.socket.nio.NioSocketChannel
 import io.quetzalfield.forwarding.UnexpectedBytes
 import io.quetzalfield.forwarding.schedule
 import io.quetzalfield.model.HostPort
@@ -199,7 +198,7 @@
 
     private fun bootstrap(connection: EndpointConnection): Bootstrap = Bootstrap()
         .group(eventLoop)
-        .channel(NioSocketChannel::class.java)
+        .channelFactory(::EndpointChannel)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, ConnectTimeout.inWholeMilliseconds.toInt())
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
