Treat a response without a valid status line as malformed

Callers saw: 502 only after the time of their route was up when an endpoint answered with status 000, or the answer that the endpoint sent after it as their own. Status 0200, +200, 600, 999 and 2000, and answers that named another protocol than HTTP/1, were passed on as answers.

Cause: the decoder takes any number for a status and any text for a version. What is below 200 counted as an interim response, so that the router went on waiting for the final one.

Why this works: the status line is checked before a message is made of it, so that a defect fails the decoding, ends the connection and is repeated or answered like any other broken answer.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -8,14 +8,11 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.AsciiString
@@ -86,7 +83,6 @@
     private var informationalResponses = 0
     private var isReusable = true
     private var endsWithConnection = false
-    private var requestMethod: HttpMethod = HttpMethod.GET
 
     /** Whether a response to another request than the present one has been received. */
     public var hasCarriedResponse: Boolean = false
@@ -107,7 +103,7 @@
     public var keepAlive: Duration = DefaultKeepAlive
         private set
 
-    private val decoder = MethodAwareDecoder()
+    private val decoder = EndpointResponseDecoder()
 
     internal val initializer = object : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
@@ -119,7 +115,7 @@
     public fun send(request: HttpRequest, body: ByteBuf, listener: ResponseListener) {
         check(this.listener == null) { "the connection to $address already carries a request" }
         this.listener = listener
-        requestMethod = request.method()
+        decoder.requestMethod = request.method()
         isAnswering = false
         isWritten = false
         skippedResponses = 0
@@ -147,13 +143,16 @@
         val decoded = message as? HttpObject
         if (current == null || decoded == null || decoded.decoderResult().isFailure) {
             ReferenceCountUtil.release(message)
-            fail(if (current == null) "received bytes without a request" else "malformed response")
+            fail(if (current == null) "received bytes without a request" else reasonOf(decoded))
             return
         }
         if (message is HttpResponse) readHead(current, message)
         if (message is HttpContent) readContent(message)
     }
 
+    private fun reasonOf(malformed: HttpObject?): String =
+        "malformed response: ${malformed?.decoderResult()?.cause()?.message?.take(REASON_LENGTH)}"
+
     private fun readHead(current: ResponseListener, response: HttpResponse) {
         val defect = ResponseHeadCheck.defectOf(response)
         if (defect != null) return fail("malformed response: $defect")
@@ -271,24 +270,6 @@
         }
     }
 
-    private inner class MethodAwareDecoder : HttpResponseDecoder(HttpDecoderConfig()) {
-        /** Bytes that were received and are part of no message so far. */
-        val undecodedBytes: Int get() = actualReadableBytes()
-
-        /** The first of the [undecodedBytes]. */
-        fun undecodedBeginning(): String {
-            if (undecodedBytes == 0) return ""
-            val bytes = internalBuffer()
-            return bytes.toString(bytes.readerIndex(), minOf(undecodedBytes, BEGINNING_LENGTH), Charsets.ISO_8859_1)
-        }
-
-        /** Whether [message] is complete with its head. */
-        fun hasNoBody(message: HttpMessage): Boolean = isContentAlwaysEmpty(message)
-
-        override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
-            requestMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
-    }
-
     private companion object {
         const val FIRST_FINAL_STATUS = 200
         const val TIMEOUT = "timeout="
@@ -302,8 +283,8 @@
         /** Informational responses to one request; servers usually send one or two. */
         const val INFORMATIONAL_RESPONSE_LIMIT = 8
 
-        /** Bytes; more than the beginning of a status line with the status. */
-        const val BEGINNING_LENGTH = 16
+        /** Characters of a decoding failure that are logged. */
+        const val REASON_LENGTH = 120
 
         /** A common idle timeout of HTTP servers, used for endpoints that do not send theirs. */
         val DefaultKeepAlive = 5.seconds
