Treat a response with a field name that is no token as malformed

Callers saw: answers with a field that the endpoint had not sent. Of "X Other: 1" they got "x: 1", of "X-Other 1" an empty field, and a line that began with a blank was appended to the value before it, to the signature among others. Of "Content-Length : 6" before twelve bytes they got six as the whole body.

Cause: the decoder repairs such lines. It ends the name of a field at the first blank and leaves out what stands between it and the colon, and takes a line that begins with a blank for a continued value.

Evidence: MalformedHeadTest. Names with a control byte were refused before, by the library; they stay as tests.

Why this works: a name must be followed by its colon, and a head in which a line continues another fails the decoding. HTTP allows a recipient to repair both; the sender here is faulty, so that what it meant is not known. Valid names, bodies with such lines, and answers in single bytes are passed on as before.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointResponseDecoder.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointResponseDecoder.kt
@@ -1,15 +1,28 @@
 package io.quetzalfield.forwarding.http
 
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.AsciiString
 
-/** Decodes the responses of an endpoint. A status line that is not valid is a decoding failure. */
+/**
+ * Decodes the responses of an endpoint. A status line or a field line that is not valid is a decoding failure, also
+ * where HTTP allows a recipient to repair it: the endpoint may mean something else by it.
+ */
 internal class EndpointResponseDecoder : HttpResponseDecoder(HttpDecoderConfig()) {
     /** The method of the request whose response comes next. */
     var requestMethod: HttpMethod = HttpMethod.GET
 
+    private val lines = HeadLineScanner()
+
+    /** Whether the next byte belongs to a head; if not, to the body or the trailer after it. */
+    private var isInHead = true
+
     /** Bytes that were received and are part of no message so far. */
     val undecodedBytes: Int get() = actualReadableBytes()
 
@@ -26,6 +39,24 @@
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         requestMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
+    override fun decode(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
+        val firstByte = input.readerIndex()
+        val decodedBefore = output.size
+        super.decode(context, input, output)
+        if (isInHead) lines.scan(input, firstByte, input.readerIndex())
+        for (index in decodedBefore until output.size) onDecoded(output[index])
+    }
+
+    private fun onDecoded(part: Any) {
+        if (part is HttpMessage) {
+            if (lines.hasContinuedLine) part.decoderResult = failure("a field continues on another line")
+            lines.reset()
+        }
+        isInHead = part is LastHttpContent
+    }
+
+    private fun failure(message: String) = DecoderResult.failure(IllegalArgumentException(message))
+
     /** The superclass takes any number for a status and any text for a version. */
     override fun createMessage(initialLine: Array<String>): HttpMessage {
         val (version, status, reason) = initialLine
@@ -37,11 +68,48 @@
 
     private fun isControl(character: Char) = (character < ' ' && character != '\t') || character == DELETE
 
+    /** The superclass ends the name at the first blank of the line and leaves out what is between it and the colon. */
+    override fun splitHeaderName(line: ByteArray, start: Int, length: Int): AsciiString {
+        require(line.getOrNull(start + length) == COLON) { "a field name is not followed by a colon" }
+        return super.splitHeaderName(line, start, length)
+    }
+
     private companion object {
         /** Bytes; more than the beginning of a status line with the status. */
         const val BEGINNING_LENGTH = 16
         const val DELETE = '\u007f'
+        const val COLON = ':'.code.toByte()
         val Version = Regex("""HTTP/1\.[0-9]""")
         val Status = Regex("[1-5][0-9]{2}")
     }
 }
+
+/** Detects field lines of one head that begin with a blank, which the decoder appends to the value before them. */
+private class HeadLineScanner {
+    private var isAtLineStart = false
+
+    /** Whether the head has such a line. */
+    var hasContinuedLine = false
+        private set
+
+    /** Scans the bytes of [input] from index [from] up to [to], which follow those of the call before. */
+    fun scan(input: ByteBuf, from: Int, to: Int) {
+        for (index in from until to) {
+            val byte = input.getByte(index)
+            hasContinuedLine = hasContinuedLine || (isAtLineStart && (byte == SPACE || byte == TAB))
+            isAtLineStart = byte == LINE_FEED
+        }
+    }
+
+    /** Prepares for the next head. */
+    fun reset() {
+        isAtLineStart = false
+        hasContinuedLine = false
+    }
+
+    private companion object {
+        const val SPACE = ' '.code.toByte()
+        const val TAB = '\t'.code.toByte()
+        const val LINE_FEED = '\n'.code.toByte()
+    }
+}
