Treat a response in an unknown transfer coding as malformed

Callers would see: compressed bytes, or the sizes of chunks, as the body of an answer, with a length and without the field that names the coding. Found while looking for the same cause wherever a head is read; nobody has reported it.

Cause: a transfer coding that the decoder does not know counted as none, and the field is not passed on, as it concerns one connection only.

Evidence: MalformedHeadTest.Framing.

Why this works: a response may name chunked, once, or no transfer coding; any other head fails the decoding.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointResponseDecoder.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointResponseDecoder.kt
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseDecoder
@@ -12,7 +14,8 @@
 
 /**
  * Decodes the responses of an endpoint. A status line or a field line that is not valid is a decoding failure, also
- * where HTTP allows a recipient to repair it: the endpoint may mean something else by it.
+ * where HTTP allows a recipient to repair it: the endpoint may mean something else by it. So is a transfer coding other
+ * than chunked.
  */
 internal class EndpointResponseDecoder : HttpResponseDecoder(HttpDecoderConfig()) {
     /** The method of the request whose response comes next. */
@@ -49,13 +52,23 @@
 
     private fun onDecoded(part: Any) {
         if (part is HttpMessage) {
-            if (lines.hasContinuedLine) part.decoderResult = failure("a field continues on another line")
+            defectOf(part)?.let { part.decoderResult = DecoderResult.failure(IllegalArgumentException(it)) }
             lines.reset()
         }
         isInHead = part is LastHttpContent
     }
 
-    private fun failure(message: String) = DecoderResult.failure(IllegalArgumentException(message))
+    private fun defectOf(head: HttpMessage): String? = when {
+        lines.hasContinuedLine -> "a field continues on another line"
+        !isTransferCodingKnown(head) -> "the transfer coding is not chunked"
+        else -> null
+    }
+
+    /** A body in any other coding would be passed on without the field that names the coding. */
+    private fun isTransferCodingKnown(head: HttpMessage): Boolean {
+        val codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        return codings.isEmpty() || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.singleOrNull())
+    }
 
     /** The superclass takes any number for a status and any text for a version. */
     override fun createMessage(initialLine: Array<String>): HttpMessage {
