Entry: a response without length is lost if its request could not be written

Callers of a plain service saw: the first part of an answer as a whole one, if the service answered an upload at once without a length and reset the connection while the upload was still being written. The program is the older entry, which the deploy file does not start.

Cause: OkHttp reads the response also when the request could not be written. The write has met the reset, so that the read after it reports an orderly end, which ends a body without length.

Whole early answers, without length and with one, were returned before and are now.

Why this works: the request's body records that it could not be written, up to its last byte, and a response whose length nothing else tells is then lost. The operation may have run, and is reported so.

--- a/entry/src/main/kotlin/io/quetzalfield/entry/ServiceClient.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ServiceClient.kt
@@ -51,6 +51,7 @@
         .followRedirects(false)
         // OkHttp takes whatever a service has sent on an idle connection for the answer to the next call.
         .connectionPool(ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+        .addNetworkInterceptor(UnwrittenRequestInterceptor)
         // OkHttp repeats a request by itself after a 503 whose Retry-After header is 0.
         .addNetworkInterceptor { chain ->
             chain.proceed(chain.request()).newBuilder().removeHeader("Retry-After").build()
--- a/entry/src/test/kotlin/io/quetzalfield/entry/ServiceOperationsTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/ServiceOperationsTest.kt
@@ -24,6 +24,7 @@
 import io.quetzalfield.support.startHttpServer
 import okhttp3.OkHttpClient
 import org.junit.jupiter.api.Nested
+import java.io.OutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -274,7 +275,67 @@
         }
     }
 
+    /** Answers each call with what [answer] writes, as soon as its head has been read. */
+    private fun <R> withService(answer: (Socket) -> Unit, use: (ServiceClient) -> R): R =
+        ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1")).use { server ->
+            thread(isDaemon = true) {
+                try {
+                    while (true) server.accept().use { socket -> socket.answerHead(answer) }
+                } catch (_: SocketException) {
+                    // The test has ended.
+                }
+            }
+            use(clientTo(server.localPort))
+        }
+
+    private fun Socket.answerHead(answer: (Socket) -> Unit) {
+        generateSequence(getInputStream().bufferedReader()::readLine).takeWhile(String::isNotEmpty).count()
+        answer(this)
+    }
+
+    private fun Socket.send(text: String) = getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
+
+    private fun Socket.finishSending() {
+        shutdownOutput()
+        getInputStream().transferTo(OutputStream.nullOutputStream())
+    }
+
+    private fun upload() = call("a".repeat(UPLOAD_BYTES))
+
+    /** A service answers a call before it has read it. */
+    @Nested
+    inner class EarlyAnswers {
+        @Test
+        fun `a part of an answer that is reset is not taken for a whole one`() {
+            val answer = { socket: Socket ->
+                socket.send("HTTP/1.1 200 OK\r\n\r\nthe first part")
+                Thread.sleep(BYTES_ARRIVE_MILLISECONDS)
+                socket.setSoLinger(true, 0)
+                socket.close()
+            }
+            val result = withService(answer) { it.send(upload()) }
+            assertIs<MayHaveRun>(result.leftOrNull(), result.summary())
+        }
+
+        @Test
+        fun `a whole answer is passed on`() {
+            for (framing in listOf("", "Content-Length: 12\r\n")) {
+                val answer = { socket: Socket ->
+                    socket.send("HTTP/1.1 200 OK\r\n$framing\r\ntwelve bytes")
+                    socket.finishSending()
+                }
+                assertEquals("twelve bytes", withService(answer) { it.send(upload()) }.summary())
+            }
+        }
+    }
+
     private companion object {
         const val BACKLOG = 10
+
+        /** More than the sockets of a connection hold together. */
+        const val UPLOAD_BYTES = 16 * 1024 * 1024
+
+        /** Longer than bytes take to be read on one machine. */
+        const val BYTES_ARRIVE_MILLISECONDS = 100L
     }
 }
