Entry: a response with an invalid head is no answer of a service

Callers of a plain service saw: answers with status 000, 099, 600 or 999, and answers with field names that hold a blank or a control byte, those of fields that frame the body among them.

Cause: OkHttp takes any number for a status and any text before a colon for the name of a field.

Why this works: the status and the names are checked before the answer is read; the operation may have run, and is reported so.

--- a/entry/src/main/kotlin/io/quetzalfield/entry/ServiceClient.kt
+++ b/entry/src/main/kotlin/io/quetzalfield/entry/ServiceClient.kt
@@ -11,6 +11,7 @@
 import io.quetzalfield.model.RefusalReason
 import io.quetzalfield.model.RequestFailure
 import io.quetzalfield.model.ServiceId
+import io.quetzalfield.store.InvalidHeadInterceptor
 import io.quetzalfield.store.engine.REQUEST_ID_HEADER
 import okhttp3.ConnectionPool
 import okhttp3.MediaType.Companion.toMediaType
@@ -52,6 +53,7 @@
         // OkHttp takes whatever a service has sent on an idle connection for the answer to the next call.
         .connectionPool(ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
         .addNetworkInterceptor(UnwrittenRequestInterceptor)
+        .addNetworkInterceptor(InvalidHeadInterceptor)
         // OkHttp repeats a request by itself after a 503 whose Retry-After header is 0.
         .addNetworkInterceptor { chain ->
             chain.proceed(chain.request()).newBuilder().removeHeader("Retry-After").build()
--- a/entry/src/test/kotlin/io/quetzalfield/entry/ServiceOperationsTest.kt
+++ b/entry/src/test/kotlin/io/quetzalfield/entry/ServiceOperationsTest.kt
@@ -329,6 +329,41 @@
         }
     }
 
+    /** A service sends an answer whose head HTTP does not allow. */
+    @Nested
+    inner class MalformedHeads {
+        private fun accepted(heads: List<String>) = heads.filter { head ->
+            val answer = { socket: Socket ->
+                socket.send("$head\r\n\r\ntwelve bytes")
+                socket.finishSending()
+            }
+            val result = withService(answer) { it.send(call()) }
+            result.leftOrNull() !is MayHaveRun
+        }
+
+        @Test
+        fun `a status line that is not valid is no answer`() {
+            val lines = listOf("000 None", "099 Low", "20 OK", "0200 OK", "2000 OK", "600 High", "999 High")
+            val heads = lines.map { "HTTP/1.1 $it" } + "ICY/1.1 200 OK" + "HTTP/2.0 200 OK" + "HTTP/1.1 +20 OK"
+            assertEquals(emptyList(), accepted(heads.map { "$it\r\nContent-Length: 12" }))
+        }
+
+        @Test
+        fun `a field name that is not a token is no answer`() {
+            val fields = listOf(
+                "X Other: 1", "X-Other : 1", "X-Other 1", " X-Other: 1", "X-\u0001Other: 1", "X-Other: a\r\n b",
+                "Content-Length : 6", "Content Length: 6", "Content-Length: 12\r\nContent-Length : 6",
+            )
+            assertEquals(emptyList(), accepted(fields.map { "HTTP/1.1 200 OK\r\n$it" }))
+        }
+
+        @Test
+        fun `a valid head is an answer`() {
+            val heads = listOf("HTTP/1.1 200 OK\r\nContent-Length: 12", "HTTP/1.0 200\r\nx_other!#:1", "HTTP/1.1 599 ")
+            assertEquals(heads, accepted(heads))
+        }
+    }
+
     private companion object {
         const val BACKLOG = 10
 
