Stores: a write whose answer has no valid status has an unknown outcome

Nobody has reported it. A store client that got status 000, or 600 and above, said of a write that it was rejected and had changed nothing; `quetzalfield apply`, by reading, then ends with that error without looking whether its lists have been stored.

Evidence: BrokenStoreAnswerTest.Writing, which failed on the code before for both stores. Its other tests held before: reads returned no value for such a status, and for no part of an answer, reset or closed, and never another value because of an odd field name.

Why this works: a call whose answer is not valid HTTP fails as one whose answer was lost. With the change BrokenStoreAnswerTest, PlatformStoreTest, StoreReachTest and RehearsalTest pass.

--- a/store/src/main/kotlin/io/quetzalfield/store/EtcdGatewayKeyValueStore.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/EtcdGatewayKeyValueStore.kt
@@ -51,6 +51,7 @@
 ) : KeyValueStore {
     private val callClient = client.newBuilder()
         .retryOnConnectionFailure(false)
+        .addNetworkInterceptor(InvalidHeadInterceptor)
         .callTimeout(callTimeout.toJavaDuration())
         .build()
     private val watchClient = client.newBuilder()
