--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EndpointConnection.kt
@@ -150,8 +150,10 @@
         if (message is HttpContent) readContent(message)
     }
 
-    private fun reasonOf(malformed: HttpObject?): String =
-        "malformed response: ${malformed?.decoderResult()?.cause()?.message?.take(REASON_LENGTH)}"
+    private fun reasonOf(malformed: HttpObject?): String {
+        val cause = malformed?.decoderResult()?.cause()?.message?.take(REASON_LENGTH)
+        return "malformed response: ${cause ?: "bytes of another protocol"}"
+    }
 
     private fun readHead(current: ResponseListener, response: HttpResponse) {
         val defect = ResponseHeadCheck.defectOf(response)
