--- /dev/null
+++ b/review/three/Runner.java
@@ -0,0 +1,93 @@
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * A runner as a process of its own: arguments are its id, its address and options. It tells on its standard output what
+ * it runs, and takes the commands 'leave' and 'exit' on its standard input.
+ */
+public final class Runner {
+    private static String id;
+    private static boolean isUnframed;
+    private static int events = 40;
+    private static int eventMs = 150;
+    private static int workMs = 20;
+    private static volatile boolean isLeaving;
+
+    private Runner() {}
+
+    public static void main(String[] arguments) throws Exception {
+        id = arguments[0];
+        for (String option : arguments) {
+            if (option.equals("unframed")) isUnframed = true;
+            if (option.startsWith("events=")) events = Integer.parseInt(option.substring(7));
+            if (option.startsWith("event_ms=")) eventMs = Integer.parseInt(option.substring(9));
+            if (option.startsWith("work_ms=")) workMs = Integer.parseInt(option.substring(8));
+        }
+        Http.Server server = new Http.Server(arguments[1], 0, Runner::answer);
+        tell("listens " + server.address.getPort());
+        BufferedReader commands = new BufferedReader(new InputStreamReader(System.in));
+        for (String command = commands.readLine(); command != null; command = commands.readLine()) {
+            if (command.equals("leave")) isLeaving = true;
+            if (command.equals("exit")) break;
+        }
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static synchronized void tell(String line) {
+        System.out.println(line);
+        System.out.flush();
+    }
+
+    private static boolean answer(Http.Message request, Socket socket) throws Exception {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("X-Instance-Id", id);
+        if (isLeaving) headers.put("Server-Leaving", "1");
+        if (request.target().equals("/healthz")) {
+            Http.respond(socket, isLeaving ? 503 : 200, headers, "");
+            return true;
+        }
+        String requestId = request.headers.get("x-request-id");
+        tell("reached " + requestId);
+        if (requestId == null || !id.equals(request.headers.getOrDefault("x-expect-instance", id))) {
+            headers.put("X-Not-Run", "1");
+            Http.respond(socket, requestId == null ? 400 : 421, headers, "");
+            return true;
+        }
+        tell("runs " + requestId + " " + request.headers.getOrDefault("x-tenant", "-"));
+        headers.put("X-Request-Id", requestId);
+        headers.put("X-Server-Stamp", id + "." + requestId);
+        if (request.target().startsWith("/tell/")) return stream(request, socket, headers, requestId);
+        Scenario.sleep(workMs);
+        Http.respond(socket, 200, headers, "answer of " + id + " to " + requestId);
+        tell("ended " + requestId);
+        return true;
+    }
+
+    private static boolean stream(Http.Message request, Socket socket, Map<String, String> headers, String requestId)
+            throws Exception {
+        headers.put("Content-Type", "text/event-stream");
+        if (!isUnframed) headers.put("Transfer-Encoding", "chunked");
+        StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
+        headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+        OutputStream out = socket.getOutputStream();
+        out.write((head + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+        int first = Integer.parseInt(request.headers.getOrDefault("last-event-id", "0")) + 1;
+        for (int number = first; number <= events; number++) {
+            Scenario.sleep(eventMs);
+            String event = "id: " + number + "\ndata: token " + number + "\n\n";
+            String piece = isUnframed ? event : Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
+            out.write(piece.getBytes(StandardCharsets.UTF_8));
+            out.flush();
+            tell("event " + requestId + " " + number);
+        }
+        if (!isUnframed) out.write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+        tell("ended " + requestId);
+        return !isUnframed;
+    }
+}
