--- a/review/three/Runner.java
+++ b/review/three/Runner.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A runner as a process of its own: arguments are its id, its address and options. It tells on its standard output what
@@ -16,6 +17,8 @@
     private static int events = 40;
     private static int eventMs = 150;
     private static int workMs = 20;
+    private static boolean failsHalf;
+    private static final AtomicInteger ran = new AtomicInteger();
     private static volatile boolean isLeaving;
 
     private Runner() {}
@@ -24,6 +27,7 @@
         id = arguments[0];
         for (String option : arguments) {
             if (option.equals("unframed")) isUnframed = true;
+            if (option.equals("fails_half")) failsHalf = true;
             if (option.startsWith("events=")) events = Integer.parseInt(option.substring(7));
             if (option.startsWith("event_ms=")) eventMs = Integer.parseInt(option.substring(9));
             if (option.startsWith("work_ms=")) workMs = Integer.parseInt(option.substring(8));
@@ -63,8 +67,9 @@
         headers.put("X-Server-Stamp", id + "." + requestId);
         if (request.target().startsWith("/tell/")) return stream(request, socket, headers, requestId);
         Scenario.sleep(workMs);
-        Http.respond(socket, 200, headers, "answer of " + id + " to " + requestId);
-        tell("ended " + requestId);
+        boolean hasFailed = failsHalf && ran.incrementAndGet() % 2 == 0;
+        Http.respond(socket, hasFailed ? 500 : 200, headers, "answer of " + id + " to " + requestId);
+        tell((hasFailed ? "failed " : "ended ") + requestId);
         return true;
     }
 
--- a/review/three/Scenario.java
+++ b/review/three/Scenario.java
@@ -98,6 +98,7 @@
         final String id;
         final String service;
         final String zone;
+        final String version;
         final Process process;
         final InetSocketAddress address;
         final List<String> told = new CopyOnWriteArrayList<>();
@@ -110,6 +111,9 @@
             this.id = id;
             this.service = service;
             this.zone = zone;
+            String named = "v1";
+            for (String option : options) if (option.startsWith("version=")) named = option.substring(8);
+            version = named;
             String host = nextHost();
             List<String> command = new ArrayList<>(List.of("java", "-Xmx48m", "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "Runner", id, host));
@@ -143,7 +147,7 @@
         synchronized long write() {
             return store.put("servers/" + id, "{\"service\":\"" + service + "\",\"address\":\""
                 + address.getHostString() + ":" + address.getPort() + "\",\"zone\":\"" + zone
-                + "\",\"version\":\"v1\",\"capacity\":64,\"state\":\"" + state + "\",\"cold_left_ms\":0,\"seqno\":"
+                + "\",\"version\":\"" + version + "\",\"capacity\":64,\"state\":\"" + state + "\",\"cold_left_ms\":0,\"seqno\":"
                 + ++beats + "}");
         }
 
