--- a/review/12/run.sh
+++ /dev/null
@@ -1,5 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; TROUBLE=0 plays it in calm.
-cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
-[ -f target/review-3/RestoredStore.class ] && [ -d target/front/lib ] || { echo "not built"; exit 2; }
-exec java -Xmx128m -cp target/review-3 RestoredStore review/12
--- a/review/three/Runner.java
+++ b/review/three/Runner.java
@@ -1,8 +1,6 @@
 import java.io.BufferedReader;
 import java.io.InputStreamReader;
-import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -13,9 +11,6 @@
  */
 public final class Runner {
     private static String id;
-    private static boolean isUnframed;
-    private static int events = 40;
-    private static int eventMs = 150;
     private static int workMs = 20;
     private static boolean failsHalf;
     private static final AtomicInteger ran = new AtomicInteger();
@@ -26,10 +21,7 @@
     public static void main(String[] arguments) throws Exception {
         id = arguments[0];
         for (String option : arguments) {
-            if (option.equals("unframed")) isUnframed = true;
             if (option.equals("fails_half")) failsHalf = true;
-            if (option.startsWith("events=")) events = Integer.parseInt(option.substring(7));
-            if (option.startsWith("event_ms=")) eventMs = Integer.parseInt(option.substring(9));
             if (option.startsWith("work_ms=")) workMs = Integer.parseInt(option.substring(8));
         }
         Http.Server server = new Http.Server(arguments[1], 0, Runner::answer);
@@ -65,34 +57,10 @@
         tell("runs " + requestId + " " + request.headers.getOrDefault("x-tenant", "-"));
         headers.put("X-Request-Id", requestId);
         headers.put("X-Server-Stamp", id + "." + requestId);
-        if (request.target().startsWith("/tell/")) return stream(request, socket, headers, requestId);
         Scenario.sleep(workMs);
         boolean hasFailed = failsHalf && ran.incrementAndGet() % 2 == 0;
         Http.respond(socket, hasFailed ? 500 : 200, headers, "answer of " + id + " to " + requestId);
         tell((hasFailed ? "failed " : "ended ") + requestId);
         return true;
     }
-
-    private static boolean stream(Http.Message request, Socket socket, Map<String, String> headers, String requestId)
-            throws Exception {
-        headers.put("Content-Type", "text/event-stream");
-        if (!isUnframed) headers.put("Transfer-Encoding", "chunked");
-        StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
-        headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
-        OutputStream out = socket.getOutputStream();
-        out.write((head + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
-        out.flush();
-        int first = Integer.parseInt(request.headers.getOrDefault("last-event-id", "0")) + 1;
-        for (int number = first; number <= events; number++) {
-            Scenario.sleep(eventMs);
-            String event = "id: " + number + "\ndata: token " + number + "\n\n";
-            String piece = isUnframed ? event : Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
-            out.write(piece.getBytes(StandardCharsets.UTF_8));
-            out.flush();
-            tell("event " + requestId + " " + number);
-        }
-        if (!isUnframed) out.write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
-        tell("ended " + requestId);
-        return !isUnframed;
-    }
 }
