Order revisions by the era of the store as well as by their number

Instances also followed a part of the store with thousands of listings a second, and one whose lease id had been granted again stayed out of the fleet.

Cause: one assumption, that the numbers which the store assigns only rise. The header Store-Era was not read. A configuration, an entry of an endpoint, a listing, a step or an order at a lower number than the last one counted as an old copy and was dropped. A dropped listing did not count as read either, so that the part was listed again at once. A watch went on from a number that had been assigned again, and a lease that had been granted again was kept alive.

Why this works: a StoreRevision holds the era in its high bits and the number in the low ones, so that every comparison, key and record of a revision orders by era first; in the first era its value is as before, and so are all messages and records. Conditions on revisions of an earlier era do not hold, and leases of an earlier era count as expired, without a call.

A restored store contains the configuration of the backup at a later revision; an instance keeps a higher version until the operator has written it again (RestoredStoreTest, a key removed before the backup was restored, which held before).

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/PlatformFeed.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/PlatformFeed.kt
@@ -24,7 +24,7 @@
         DecisionLog.write(
             "configuration",
             "version" to configuration.version,
-            "revision" to configuration.revision.value,
+            "revision" to configuration.revision,
             "routes" to configuration.routes.size,
         )
     }
@@ -51,14 +51,14 @@
         onOrders(orders)
         eventLoop.execute {
             for (order in orders) {
-                if (versions.orderOf(order.service)?.second == order.revision.value) continue
-                versions.applyOrder(order.service, order.target, order.revision.value)
+                if (versions.orderOf(order.service)?.second == order.revision) continue
+                versions.applyOrder(order.service, order.target, order.revision)
                 DecisionLog.write(
                     "rollout_order",
                     "service" to order.service.value,
                     "target" to order.target.value,
                     "ramp" to order.ramp,
-                    "revision" to order.revision.value,
+                    "revision" to order.revision,
                 )
             }
         }
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -49,6 +49,7 @@
 import io.quetzalfield.store.DutyLease
 import io.quetzalfield.store.FollowSettings
 import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreRevision
 import java.io.ByteArrayOutputStream
 import java.util.UUID
 import java.util.concurrent.ConcurrentHashMap
@@ -148,7 +149,7 @@
         BlameRecords(platform.store) { eventLoop.submit<List<BlameReport>>(crashes::ownDecisions).get() }
 
     /** Revisions of the orders whose end has been reported. */
-    private val closedOrders: MutableSet<Long> = ConcurrentHashMap.newKeySet()
+    private val closedOrders: MutableSet<StoreRevision> = ConcurrentHashMap.newKeySet()
 
     /** Opens the listening sockets and starts to follow the platform. */
     public fun start() {
@@ -288,7 +289,7 @@
     }
 
     /** Whether the roll-out still needs steps or a report of its end. */
-    private fun isOpen(order: RolloutOrder): Boolean = order.revision.value !in closedOrders
+    private fun isOpen(order: RolloutOrder): Boolean = order.revision !in closedOrders
 
     /** Stores this instance's observations of versions while a roll-out is open. */
     private fun publishObservations() {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/SessionHolds.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/SessionHolds.kt
@@ -2,6 +2,7 @@
 
 import io.quetzalfield.forwarding.DecisionLog
 import io.quetzalfield.model.ServiceId
+import io.quetzalfield.store.StoreRevision
 import kotlinx.serialization.Serializable
 
 /**
@@ -10,7 +11,7 @@
  * @property orderRevision the store's revision of the order of the roll-out.
  */
 @Serializable
-public data class HeldSessions(val service: ServiceId, val orderRevision: Long, val sessions: List<Long>)
+public data class HeldSessions(val service: ServiceId, val orderRevision: StoreRevision, val sessions: List<Long>)
 
 /**
  * The sessions that are active when the first share of a roll-out takes effect, and stay on the previous version until
@@ -23,7 +24,7 @@
  * none is left that has heard the others; the sessions are therefore also stored.
  */
 public class SessionHolds {
-    private class Holds(val orderRevision: Long) {
+    private class Holds(val orderRevision: StoreRevision) {
         val local = LinkedHashSet<Long>()
         val remote = LinkedHashSet<Long>()
         val stored = HashSet<Long>()
@@ -50,7 +51,7 @@
         .filter { it.sessions.isNotEmpty() }
 
     /** Holds [session], for which a request has been sent. */
-    public fun hold(service: ServiceId, orderRevision: Long, session: Long) {
+    public fun hold(service: ServiceId, orderRevision: StoreRevision, session: Long) {
         val held = holdsOf(service, orderRevision) ?: return
         if (session in held.remote || held.local.size >= MAXIMUM_HELD || !held.local.add(session)) return
         if (held.local.size == MAXIMUM_HELD) DecisionLog.write("session_holds_full", "service" to service.value)
@@ -70,7 +71,7 @@
     }
 
     /** Whether [session] stays on the previous version. */
-    public fun isHeld(service: ServiceId, orderRevision: Long, session: Long): Boolean {
+    public fun isHeld(service: ServiceId, orderRevision: StoreRevision, session: Long): Boolean {
         val held = holds[service]?.takeIf { it.orderRevision == orderRevision } ?: return false
         return session in held.local || session in held.remote || session in held.stored
     }
@@ -80,7 +81,7 @@
         holds.remove(service)
     }
 
-    private fun holdsOf(service: ServiceId, orderRevision: Long): Holds? {
+    private fun holdsOf(service: ServiceId, orderRevision: StoreRevision): Holds? {
         val known = holds[service]
         if (known != null && known.orderRevision > orderRevision) return null
         if (known?.orderRevision == orderRevision) return known
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/VersionSplit.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/VersionSplit.kt
@@ -6,6 +6,7 @@
 import io.quetzalfield.model.ServiceId
 import io.quetzalfield.model.SessionId
 import io.quetzalfield.model.VersionId
+import io.quetzalfield.store.StoreRevision
 import kotlinx.serialization.Serializable
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
@@ -27,7 +28,7 @@
 public data class RolloutStep(
     val service: ServiceId,
     val target: VersionId,
-    val orderRevision: Long,
+    val orderRevision: StoreRevision,
     val phase: RolloutPhase,
     val share: Double,
     val firstShare: Double = 0.0,
@@ -65,7 +66,7 @@
 ) {
     private val steps = HashMap<ServiceId, RolloutStep>()
     private val firstSeen = HashMap<Pair<ServiceId, VersionId>, ComparableTimeMark>()
-    private val orders = HashMap<ServiceId, Pair<VersionId, Long>>()
+    private val orders = HashMap<ServiceId, Pair<VersionId, StoreRevision>>()
 
     /** The step of the running roll-out of [service]; `null` without one. */
     public fun runningStepOf(service: ServiceId): RolloutStep? =
@@ -76,10 +77,10 @@
         runningStepOf(service)?.let { it.share > 0 && it.share < 1 } ?: false
 
     /** The target and revision of the operator's order for [service]. */
-    public fun orderOf(service: ServiceId): Pair<VersionId, Long>? = orders[service]
+    public fun orderOf(service: ServiceId): Pair<VersionId, StoreRevision>? = orders[service]
 
     /** Sets the operator's order for [service]; until its first step the target gets no requests. */
-    public fun applyOrder(service: ServiceId, target: VersionId, revision: Long) {
+    public fun applyOrder(service: ServiceId, target: VersionId, revision: StoreRevision) {
         orders[service] = target to revision
     }
 
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/configuration/ConfigurationHolder.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/configuration/ConfigurationHolder.kt
@@ -7,7 +7,7 @@
 import kotlin.time.TimeSource
 
 /**
- * Holds the configuration in force, which only a higher revision replaces, and the time at which it was last confirmed
+ * Holds the configuration in force, which only a later one replaces, and the time at which it was last confirmed
  * to be the newest.
  *
  * A process may be paused, and the monotonic clock need not count the pause; the system clock counts it but may step.
@@ -26,14 +26,20 @@
     public var current: RoutingConfiguration? = null
         private set
 
-    /** Adopts [configuration] unless one of the same or a higher revision is in force; returns whether it did. */
+    /** Adopts [configuration] unless the one in force is the same or a later one; returns whether it did. */
     public fun adopt(configuration: RoutingConfiguration): Boolean {
         val previous = current
-        if (previous != null && previous.revision >= configuration.revision) return false
+        if (previous != null && !configuration.isLaterThan(previous)) return false
         current = configuration
         return true
     }
 
+    /** A restored store contains an earlier version, at a later revision, until the operator has written again. */
+    private fun RoutingConfiguration.isLaterThan(other: RoutingConfiguration): Boolean {
+        val isOfBackup = revision.era > other.revision.era && version < other.version
+        return revision > other.revision && !isOfBackup
+    }
+
     /** Records that the store confirmed the current configuration in a call sent at [mark] and [instant]. */
     public fun confirm(mark: ComparableTimeMark, instant: Instant) {
         val previous = confirmation
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/FleetFollower.kt
@@ -11,6 +11,7 @@
 import io.quetzalfield.forwarding.http.RoutingContext
 import io.quetzalfield.store.StoreChange
 import io.quetzalfield.store.StoreFollower
+import io.quetzalfield.store.StoreRevision
 import io.quetzalfield.store.StoredValue
 
 /**
@@ -22,12 +23,12 @@
     private val context: RoutingContext,
     private val members: Members,
     private val holds: SessionHolds,
-    private val onReported: (Long) -> Unit,
+    private val onReported: (StoreRevision) -> Unit,
 ) : StoreFollower {
     private val eventLoop get() = context.eventLoop
     private val partLog = StorePartLog("fleet")
 
-    override fun onState(values: List<StoredValue>) {
+    override fun onState(values: List<StoredValue>, revision: StoreRevision) {
         val (records, others) = values.partition { it.key.startsWith(FleetKeys.MEMBERS) }
         eventLoop.execute { members.replace(records) }
         others.forEach(::applyValue)
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
@@ -103,7 +103,7 @@
         val key = FleetKeys.step(order.service)
         val stored = store.read(key).getOrElse { return }
         val record = stored?.decodeOrLog(RolloutRecord.serializer(), UNREADABLE_RECORD)
-        val current = record?.takeIf { it.step.orderRevision == order.revision.value }
+        val current = record?.takeIf { it.step.orderRevision == order.revision }
         val revision = stored?.modified ?: StoreRevision.Absent
         when {
             current == null -> begin(order, key, revision)
@@ -113,7 +113,7 @@
     }
 
     private fun begin(order: RolloutOrder, key: String, revision: StoreRevision) {
-        val step = RolloutStep(order.service, order.target, order.revision.value, RolloutPhase.RUNNING, share = 0.0)
+        val step = RolloutStep(order.service, order.target, order.revision, RolloutPhase.RUNNING, share = 0.0)
         val record = RolloutRecord(step, clock.now().toEpochMilliseconds())
         val written = write(key, revision, record) ?: return
         // Reported first, as the next step may be the last one, with a report of its own.
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayedStore.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayedStore.kt
@@ -199,7 +199,7 @@
         if (isBehind) return
         candidate.isAttached = true
         if (startPhase != null) stopReadingAtStart()
-        for (part in parts.values) candidate.mirrorOf(part.prefix)?.let { part.replace(it.state) }
+        for (part in parts.values) candidate.mirrorOf(part.prefix)?.let { part.replace(it.state, it.reached) }
         DecisionLog.write("relay_used", "relay" to candidate.relay.incarnation)
     }
 
@@ -224,7 +224,8 @@
         override fun onAnswer(link: RelayLink, asked: CallTime, parts: List<PartFreshness>) {
             val isSameDomain = link.relay.failureDomain == ownRecord.failureDomain
             val isUsed = link === this@RelayedStore.link || link === candidate
-            if (!isUsed || !SourceChoice.isGood(parts, isSameDomain)) return
+            val isOfEarlierEra = parts.any { StoreRevision(it.reached).era < direct.era }
+            if (!isUsed || isOfEarlierEra || !SourceChoice.isGood(parts, isSameDomain)) return
             if (!link.isAttached) attach(link)
             if (!link.isAttached) return
             if (link === candidate) replaceLinkBy(link)
@@ -269,12 +270,12 @@
 
         fun isFollowedBy(follower: DirectFollower) = directFollower === follower
 
-        fun replace(state: List<StoredValue>) {
+        fun replace(state: List<StoredValue>, listed: StoreRevision) {
             onAvailable()
             val isFirst = !mirror.isComplete
             val changes = mirror.replace(state)
             if (isFirst) {
-                follower.onState(mirror.state)
+                follower.onState(mirror.state, listed)
                 server.sendState(prefix, mirror.state)
             } else {
                 changes.forEach(follower::onChange)
@@ -337,9 +338,9 @@
 
         private fun run(action: () -> Unit) = eventLoop.execute { if (part.isFollowedBy(this)) action() }
 
-        override fun onState(values: List<StoredValue>) = run {
+        override fun onState(values: List<StoredValue>, revision: StoreRevision) = run {
             part.onRead()
-            part.replace(values)
+            part.replace(values, revision)
             if (startPhase != null) update()
         }
 
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutOntoColdEndpointsTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutOntoColdEndpointsTest.kt
@@ -7,6 +7,7 @@
 import io.quetzalfield.model.InstanceId
 import io.quetzalfield.model.ServiceId
 import io.quetzalfield.model.VersionId
+import io.quetzalfield.store.StoreRevision
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -32,8 +33,10 @@
     private val sent = mutableListOf<Pair<Endpoint, RolloutSubject>>()
 
     private fun beginRollout(share: Double) {
-        split.applyOrder(service, VersionId("v2"), 7)
-        split.applyStep(RolloutStep(service, VersionId("v2"), 7, RolloutPhase.RUNNING, share, firstShare = 0.1))
+        split.applyOrder(service, VersionId("v2"), StoreRevision(7))
+        split.applyStep(
+            RolloutStep(service, VersionId("v2"), StoreRevision(7), RolloutPhase.RUNNING, share, firstShare = 0.1),
+        )
     }
 
     private fun versionOf(subject: RolloutSubject): String? {
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/VersionSplitTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/VersionSplitTest.kt
@@ -5,6 +5,8 @@
 import io.quetzalfield.model.ServiceId
 import io.quetzalfield.model.SessionId
 import io.quetzalfield.model.VersionId
+import io.quetzalfield.store.StoreEra
+import io.quetzalfield.store.StoreRevision
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -25,7 +27,7 @@
     private val new = listOf(Endpoint(description("new-1", port = 3, version = "v2")))
 
     private fun step(share: Double, phase: RolloutPhase = RolloutPhase.RUNNING, revision: Long = 7) =
-        RolloutStep(service, VersionId("v2"), revision, phase, share)
+        RolloutStep(service, VersionId("v2"), StoreRevision(revision), phase, share)
 
     private fun versionsOf(session: String, candidates: List<Endpoint> = old + new) =
         split.filter(service, RolloutSubject(session, isSession = true), candidates).map {
@@ -47,7 +49,7 @@
 
         @Test
         fun `an ordered version gets no requests before its first step`() {
-            split.applyOrder(service, VersionId("v2"), 7)
+            split.applyOrder(service, VersionId("v2"), StoreRevision(7))
             assertEquals(0.0, newShare())
         }
     }
@@ -56,7 +58,7 @@
     inner class Running {
         @Test
         fun `the version gets its share, and keeps its sessions as the share grows`() {
-            split.applyOrder(service, VersionId("v2"), 7)
+            split.applyOrder(service, VersionId("v2"), StoreRevision(7))
             split.applyStep(step(0.1))
             val before = (1..500).filter { versionsOf("session-$it") == setOf("v2") }
             assertEquals(0.1, newShare(), absoluteTolerance = 0.03)
@@ -66,7 +68,7 @@
 
         @Test
         fun `a step of an older order changes nothing`() {
-            split.applyOrder(service, VersionId("v2"), 7)
+            split.applyOrder(service, VersionId("v2"), StoreRevision(7))
             split.applyStep(step(0.1))
             assertFalse(split.applyStep(step(1.0, revision = 6)))
         }
@@ -97,7 +99,7 @@
         }
 
         private fun step(share: Double, firstShare: Double) =
-            RolloutStep(service, VersionId("v2"), 7, RolloutPhase.RUNNING, share, firstShare)
+            RolloutStep(service, VersionId("v2"), StoreRevision(7), RolloutPhase.RUNNING, share, firstShare)
 
         /** Sends requests of random sessions at random instances; counts those that changed a session's version. */
         private fun Random.simulate(sends: Int, names: Int, versions: MutableMap<String, VersionId>): Int =
@@ -113,7 +115,7 @@
         fun `no session changes its version in the first half`(seed: Int) {
             val random = Random(seed)
             val versions = HashMap<String, VersionId>()
-            instances.forEach { it.split.applyOrder(service, VersionId("v2"), 7) }
+            instances.forEach { it.split.applyOrder(service, VersionId("v2"), StoreRevision(7)) }
             var moved = random.simulate(1_000, 500, versions)
             for (one in instances) {
                 one.split.applyStep(step(share = 0.0, firstShare = 0.1))
@@ -130,7 +132,7 @@
         @Test
         fun `held sessions move to the new version as the share grows`() {
             val names = (1..2_000).map { "session-$it" }
-            instances.forEach { it.split.applyOrder(service, VersionId("v2"), 7) }
+            instances.forEach { it.split.applyOrder(service, VersionId("v2"), StoreRevision(7)) }
             names.forEach { instances.random(Random(1)).send(it) }
             instances.forEach { it.split.applyStep(step(share = 0.0, firstShare = 0.1)) }
             instances.forEach { it.split.applyStep(step(share = 0.1, firstShare = 0.1)) }
@@ -142,11 +144,11 @@
         @Test
         fun `a session that arrives before the new version's endpoints are known is held`() {
             val one = instances.first()
-            one.split.applyOrder(service, VersionId("v2"), 7)
+            one.split.applyOrder(service, VersionId("v2"), StoreRevision(7))
             one.split.applyStep(step(share = 0.0, firstShare = 1.0))
             val subject = RolloutSubject("session-1", isSession = true)
             one.split.filter(service, subject, old)
-            instances.last().split.applyOrder(service, VersionId("v2"), 7)
+            instances.last().split.applyOrder(service, VersionId("v2"), StoreRevision(7))
             instances.last().split.applyStep(step(share = 1.0, firstShare = 1.0))
             assertEquals(VersionId("v1"), instances.last().send("session-1"))
         }
@@ -154,10 +156,10 @@
         @Test
         fun `holds of another order are ignored`() {
             val one = instances.first()
-            one.split.applyOrder(service, VersionId("v2"), 7)
+            one.split.applyOrder(service, VersionId("v2"), StoreRevision(7))
             one.split.applyStep(step(share = 1.0, firstShare = 1.0))
             val hash = RolloutSubject("session-1", isSession = true).hash
-            one.holds.addRemote(HeldSessions(service, orderRevision = 6, listOf(hash)))
+            one.holds.addRemote(HeldSessions(service, orderRevision = StoreRevision(6), listOf(hash)))
             assertEquals(VersionId("v2"), one.send("session-1"))
         }
     }
@@ -166,7 +168,7 @@
     inner class Ended {
         @Test
         fun `a reverted version gets no requests, even when no other version is left`() {
-            split.applyOrder(service, VersionId("v2"), 7)
+            split.applyOrder(service, VersionId("v2"), StoreRevision(7))
             split.applyStep(step(0.3))
             split.applyStep(step(0.0, RolloutPhase.REVERTED))
             assertEquals(0.0, newShare())
@@ -175,7 +177,7 @@
 
         @Test
         fun `a final phase is final for its order`() {
-            split.applyOrder(service, VersionId("v2"), 7)
+            split.applyOrder(service, VersionId("v2"), StoreRevision(7))
             split.applyStep(step(0.0, RolloutPhase.REVERTED))
             assertFalse(split.applyStep(step(0.3)))
         }
@@ -183,7 +185,7 @@
         /** The pace of a completed version is the baseline of the next roll-out. */
         @Test
         fun `a version whose roll-out is complete is not being rolled out`() {
-            split.applyOrder(service, VersionId("v2"), 7)
+            split.applyOrder(service, VersionId("v2"), StoreRevision(7))
             split.applyStep(step(0.3))
             assertEquals(step(0.3), split.runningStepOf(service))
             split.applyStep(step(1.0, RolloutPhase.COMPLETE))
@@ -193,7 +195,7 @@
 
         @Test
         fun `a completed version gets all requests`() {
-            split.applyOrder(service, VersionId("v2"), 7)
+            split.applyOrder(service, VersionId("v2"), StoreRevision(7))
             split.applyStep(step(1.0, RolloutPhase.COMPLETE))
             assertEquals(1.0, newShare())
         }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/configuration/ConfigurationHolderTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/configuration/ConfigurationHolderTest.kt
@@ -1,5 +1,6 @@
 package io.quetzalfield.forwarding.configuration
 
+import io.quetzalfield.store.StoreEra
 import io.quetzalfield.store.StoreRevision
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
@@ -29,9 +30,11 @@
         systemTime += duration
     }
 
-    private fun configuration(revision: Long) = RoutingConfiguration(
-        StoreRevision(revision),
-        version = revision,
+    private fun configuration(revision: Long) = configuration(StoreRevision(revision), version = revision)
+
+    private fun configuration(revision: StoreRevision, version: Long) = RoutingConfiguration(
+        revision,
+        version = version,
         routes = emptyList(),
         services = emptyList(),
         limits = CallerLimits(),
@@ -49,6 +52,17 @@
             assertFalse(holder.adopt(configuration(7)))
             assertEquals(newest, holder.current)
         }
+
+        /** In CONFIG, a configuration written after the store was restored had a lower revision and was dropped. */
+        @Test
+        fun `after the store was restored the newest version is adopted, and never the earlier one of the backup`() {
+            val restored = StoreEra(1)
+            holder.adopt(configuration(StoreRevision(70), version = 7))
+            assertFalse(holder.adopt(configuration(StoreRevision.of(restored, 50), version = 6)))
+            assertTrue(holder.adopt(configuration(StoreRevision.of(restored, 55), version = 7)))
+            assertTrue(holder.adopt(configuration(StoreRevision.of(restored, 56), version = 8)))
+            assertFalse(holder.adopt(configuration(StoreRevision(90), version = 9)))
+        }
     }
 
     @Nested
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/HoldRecordsTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/HoldRecordsTest.kt
@@ -4,6 +4,8 @@
 import io.quetzalfield.forwarding.choice.SessionHolds
 import io.quetzalfield.model.ServiceId
 import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreEra
+import io.quetzalfield.store.StoreRevision
 import io.quetzalfield.store.fakes.InMemoryKeyValueStore
 import org.junit.jupiter.api.Nested
 import kotlin.concurrent.thread
@@ -21,7 +23,7 @@
     private val service = ServiceId("advisor")
 
     private fun held(orderRevision: Long, vararg sessions: Long) =
-        HeldSessions(service, orderRevision, sessions.toList())
+        HeldSessions(service, StoreRevision(orderRevision), sessions.toList())
 
     private val stored: HeldSessions?
         get() = store.read(FleetKeys.holds(service)).getOrNull()
@@ -87,14 +89,14 @@
         @Test
         fun `what is stored is held and not reported as missing`() {
             val holds = SessionHolds()
-            holds.hold(service, orderRevision = 7, session = 1)
+            holds.hold(service, orderRevision = StoreRevision(7), session = 1)
             holds.addRemote(held(7, 2))
             assertEquals(listOf(held(7, 1)), holds.localNotStored)
             assertEquals(listOf(held(7, 1, 2)), holds.knownNotStored)
             holds.addStored(held(7, 1, 2, 3))
             assertEquals(emptyList(), holds.knownNotStored)
-            assertTrue(holds.isHeld(service, orderRevision = 7, session = 3))
-            assertFalse(holds.isHeld(service, orderRevision = 9, session = 3))
+            assertTrue(holds.isHeld(service, orderRevision = StoreRevision(7), session = 3))
+            assertFalse(holds.isHeld(service, orderRevision = StoreRevision(9), session = 3))
         }
 
         /** Any instance may be restarted at any time; only stored sessions outlive their instance. */
@@ -111,7 +113,7 @@
             val expected = HashSet<Long>()
             repeat(40) { step ->
                 val index = random.nextInt(instances.size)
-                instances[index].hold(service, orderRevision = 7, session = step.toLong())
+                instances[index].hold(service, orderRevision = StoreRevision(7), session = step.toLong())
                 expected += step.toLong()
                 // A planned stop stores what the instance holds; the instance that takes its place starts anew.
                 HoldRecords(shared).add(instances[index].localNotStored)
@@ -119,7 +121,7 @@
                 instances.forEach { instance -> read()?.let(instance::addStored) }
             }
             for (instance in instances + started()) {
-                assertTrue(expected.all { instance.isHeld(service, orderRevision = 7, session = it) })
+                assertTrue(expected.all { instance.isHeld(service, orderRevision = StoreRevision(7), session = it) })
             }
         }
     }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/WorkMessageBytesTest.kt
@@ -12,6 +12,7 @@
 import io.quetzalfield.model.RequestFingerprint
 import io.quetzalfield.model.RunnerId
 import io.quetzalfield.model.ServiceId
+import io.quetzalfield.store.StoreRevision
 import java.util.HexFormat
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -29,8 +30,12 @@
         EndpointWork("runner-3", running = 130, unreadTokens = 5_000_000_000),
     )
     private val held = listOf(
-        HeldSessions(ServiceId("advisor"), orderRevision = 7, listOf(1, -1, Long.MIN_VALUE, Long.MAX_VALUE)),
-        HeldSessions(ServiceId("shop"), orderRevision = 300, emptyList()),
+        HeldSessions(
+            ServiceId("advisor"),
+            orderRevision = StoreRevision(7),
+            listOf(1, -1, Long.MIN_VALUE, Long.MAX_VALUE),
+        ),
+        HeldSessions(ServiceId("shop"), orderRevision = StoreRevision(300), emptyList()),
     )
 
     private fun assertBytes(hexadecimal: String, message: WorkMessage) {
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/RelayedStoreTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/relay/RelayedStoreTest.kt
@@ -69,8 +69,9 @@
                         follower.onUnavailable("cut")
                     } else {
                         val values = store.list(prefix).getOrElse { emptyList() }
-                        follower.onState(values)
-                        follower.onRevisionReached(values.maxOfOrNull(StoredValue::modified) ?: StoreRevision.Absent)
+                        val revision = values.maxOfOrNull(StoredValue::modified) ?: StoreRevision.Absent
+                        follower.onState(values, revision)
+                        follower.onRevisionReached(revision)
                         follower.onAvailable()
                         follower.onConfirmed(sent)
                         lastConfirmed = sent.mark
@@ -110,7 +111,7 @@
             relayed.follow(
                 FleetKeys.FLEET_PREFIX,
                 object : StoreFollower {
-                    override fun onState(values: List<StoredValue>) = Unit
+                    override fun onState(values: List<StoredValue>, revision: StoreRevision) = Unit
 
                     override fun onChange(change: StoreChange) = Unit
                 },
@@ -124,7 +125,8 @@
             relayed.start()
         }
 
-        override fun onState(values: List<StoredValue>) = values.forEach { known[it.key] = it.value }
+        override fun onState(values: List<StoredValue>, revision: StoreRevision) =
+            values.forEach { known[it.key] = it.value }
 
         override fun onChange(change: StoreChange) {
             val value = change.value
--- a/store-fakes/src/main/kotlin/io/quetzalfield/store/fakes/InMemoryKeyValueStore.kt
+++ b/store-fakes/src/main/kotlin/io/quetzalfield/store/fakes/InMemoryKeyValueStore.kt
@@ -7,6 +7,7 @@
 import io.quetzalfield.store.KeyValueStore
 import io.quetzalfield.store.LeaseId
 import io.quetzalfield.store.StoreChange
+import io.quetzalfield.store.StoreEra
 import io.quetzalfield.store.StoreRevision
 import io.quetzalfield.store.StoreWatch
 import io.quetzalfield.store.StoredValue
@@ -25,6 +26,14 @@
 
     private class Entry(val value: StoredValue, val lease: LeaseId?)
 
+    /** The contents of the store at one moment. */
+    public class Backup internal constructor(
+        internal val entries: Map<String, Pair<StoredValue, LeaseId?>>,
+        internal val leases: Map<LeaseId, Pair<Duration, ComparableTimeMark>>,
+        internal val revision: Long,
+        internal val nextLease: Long,
+    )
+
     private class Watch(val prefix: String, val onChange: (StoreChange) -> Unit)
 
     private val lock = Any()
@@ -33,6 +42,10 @@
     private val watches = mutableListOf<Watch>()
     private var revision = 0L
     private var nextLease = 1L
+
+    @Volatile
+    override var era: StoreEra = StoreEra.First
+        private set
     private var responsesToLose = 0
 
     /** The number of calls, including refused ones. */
@@ -43,6 +56,33 @@
     @Volatile
     public var isDown: Boolean = false
 
+    /** Copies the contents. */
+    public fun backUp(): Backup = synchronized(lock) {
+        Backup(
+            entries = entries.mapValues { (_, entry) -> entry.value to entry.lease },
+            leases = leases.mapValues { (_, lease) -> lease.timeToLive to lease.expiresAt },
+            revision = revision,
+            nextLease = nextLease,
+        )
+    }
+
+    /** Replaces the contents by those of [backup] and begins a new era. Watches report nothing of it. */
+    public fun restore(backup: Backup): Unit = synchronized(lock) {
+        era = StoreEra(era.value + 1)
+        revision = backup.revision
+        nextLease = backup.nextLease
+        leases.clear()
+        backup.leases.forEach { (id, lease) -> leases[id.copy(era = era)] = Lease(lease.first, lease.second) }
+        entries.clear()
+        for ((key, backedUp) in backup.entries) {
+            val (value, lease) = backedUp
+            val restored = value.copy(modified = at(value.modified.number), created = at(value.created.number))
+            entries[key] = Entry(restored, lease?.copy(era = era))
+        }
+    }
+
+    private fun at(number: Long) = StoreRevision.of(era, number)
+
     /** Applies the next [count] writes but loses their responses. */
     public fun loseAnswers(count: Int): Unit = synchronized(lock) { responsesToLose = count }
 
@@ -65,8 +105,8 @@
 
             else -> {
                 revision++
-                val created = current?.created ?: StoreRevision(revision)
-                val stored = StoredValue(key, value, StoreRevision(revision), created)
+                val created = current?.created ?: at(revision)
+                val stored = StoredValue(key, value, at(revision), created)
                 entries[key] = Entry(stored, lease)
                 report(StoreChange(key, stored))
                 SwapResult.Swapped(stored.modified).right()
@@ -80,12 +120,12 @@
             SwapResult.Conflict(current).right()
         } else {
             delete(key)
-            SwapResult.Swapped(StoreRevision(revision)).right()
+            SwapResult.Swapped(at(revision)).right()
         }
     }
 
     override fun grantLease(timeToLive: Duration): Either<KeyValueError, LeaseId> = command {
-        val id = LeaseId(nextLease++)
+        val id = LeaseId(nextLease++, era)
         leases[id] = Lease(timeToLive, timeSource.markNow() + timeToLive)
         id.right()
     }
--- a/store-fakes/src/main/kotlin/io/quetzalfield/store/fakes/PlatformLink.kt
+++ b/store-fakes/src/main/kotlin/io/quetzalfield/store/fakes/PlatformLink.kt
@@ -10,6 +10,7 @@
 import io.quetzalfield.store.KeyValueStore
 import io.quetzalfield.store.LeaseId
 import io.quetzalfield.store.StoreChange
+import io.quetzalfield.store.StoreEra
 import io.quetzalfield.store.StoreRevision
 import io.quetzalfield.store.StoreWatch
 import io.quetzalfield.store.StoredValue
@@ -60,6 +61,8 @@
     }
 
     private inner class LinkedStore : KeyValueStore {
+        override val era: StoreEra get() = origin.era
+
         override fun read(key: String): Either<KeyValueError, StoredValue?> = call { origin.read(key) }
 
         override fun list(prefix: String): Either<KeyValueError, List<StoredValue>> = call { origin.list(prefix) }
--- a/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
@@ -11,8 +11,8 @@
 
 /** Receives the contents and changes of a part of the store. All calls are made on one thread. */
 public interface StoreFollower {
-    /** The part now contains exactly [values]; they replace everything reported before. */
-    public fun onState(values: List<StoredValue>)
+    /** The part contains exactly [values] at [revision]; they replace everything reported before. */
+    public fun onState(values: List<StoredValue>, revision: StoreRevision)
 
     /** One key has changed. */
     public fun onChange(change: StoreChange)
--- a/store/src/main/kotlin/io/quetzalfield/store/KeyValueStore.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/KeyValueStore.kt
@@ -1,22 +1,67 @@
 package io.quetzalfield.store
 
 import arrow.core.Either
+import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 
-/** The number that the store assigns to each change; it only increases. Zero denotes an absent key. */
+/**
+ * The number of times that the store has been restored from a backup, after which its revision counter continues from
+ * an earlier value. Zero for a store that does not report it.
+ */
 @JvmInline
+public value class StoreEra(public val value: Long) : Comparable<StoreEra> {
+    override fun compareTo(other: StoreEra): Int = value.compareTo(other.value)
+
+    public companion object {
+        /** The era of a store that has never been restored. */
+        public val First: StoreEra = StoreEra(0)
+
+        /** Largest era that a [StoreRevision] can represent. */
+        public val Largest: StoreEra = StoreEra(Long.MAX_VALUE ushr StoreRevision.NUMBER_BITS)
+    }
+}
+
+/**
+ * Position in the history of the store: an era and the number that the store assigned to the change within it. Any
+ * revision of a later era is greater than those of earlier ones.
+ *
+ * @property value the era in the high bits and the number in the low [NUMBER_BITS] bits; in the first era, the number.
+ */
+@JvmInline
+@Serializable
 public value class StoreRevision(public val value: Long) : Comparable<StoreRevision> {
+    /** The era in which the store assigned [number]. */
+    public val era: StoreEra get() = StoreEra(value ushr NUMBER_BITS)
+
+    /** The number as the store states it. */
+    public val number: Long get() = value and LARGEST_NUMBER
+
     override fun compareTo(other: StoreRevision): Int = value.compareTo(other.value)
 
+    override fun toString(): String = "${era.value}.$number"
+
     public companion object {
+        internal const val NUMBER_BITS = 44
+        private const val LARGEST_NUMBER = (1L shl NUMBER_BITS) - 1
+
         /** The revision of a key that is absent. */
         public val Absent: StoreRevision = StoreRevision(0)
+
+        /**
+         * The revision [number] of [era].
+         *
+         * @throws IllegalArgumentException if either is outside the range that a revision can represent.
+         */
+        public fun of(era: StoreEra, number: Long): StoreRevision {
+            require(era.value in 0..StoreEra.Largest.value) { "the era ${era.value} is out of range" }
+            require(number in 0..LARGEST_NUMBER) { "the revision $number is out of range" }
+            return StoreRevision((era.value shl NUMBER_BITS) or number)
+        }
     }
 }
 
-/** The handle of a lease at the store. */
-@JvmInline
-public value class LeaseId(public val value: Long)
+/** The handle of a lease at the store. A restored store may assign [value] again, so that [era] is a part of it. */
+public data class LeaseId(val value: Long, val era: StoreEra = StoreEra.First)
 
 /**
  * A stored value.
@@ -65,6 +110,12 @@
  * Every call counts against its rates, a waiting watch as one.
  */
 public interface KeyValueStore {
+    /**
+     * The latest era that the store has reported in any response. A condition on a revision of an earlier era does not
+     * hold, and a lease of an earlier era counts as expired.
+     */
+    public val era: StoreEra get() = StoreEra.First
+
     /** Reads one key; `null` if it is absent. */
     public fun read(key: String): Either<KeyValueError, StoredValue?>
 
