Let leases, duties and memberships end with the era of their store

A restored store has lost the leases that it granted since the backup and may grant their ids again.

Cause: a lease was known by its number alone. An instance went on acting on a duty that another one could acquire, renewed a membership under a lease of another process, and when it left ended that lease. Records of prompts that crash endpoints were stored under it.

Why this works: a duty is held only in the era in which it was acquired, checked on each use. A membership of an earlier era is joined again at the next renewal. An instance that leaves deletes its own record by its revision instead of ending a lease of an earlier era.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/BlameRecords.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/BlameRecords.kt
@@ -25,7 +25,8 @@
     fun publish() {
         val reports = decisions().takeLast(MAXIMUM_RECORDS)
         if (reports.isEmpty()) return
-        if (lease == null) lease = store.grantLease(TimeToLive).getOrElse { return }
+        // A restored store has lost the lease and the records under it.
+        if (lease?.era != store.era) lease = store.grantLease(TimeToLive).getOrElse { return }
         for (report in reports) {
             val key = FleetKeys.blame(fingerprintOf(report.suspect.value))
             records.publish(key, report.copy(ageMilliseconds = 0, trialAgeMilliseconds = 0)) {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Membership.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/Membership.kt
@@ -1,7 +1,9 @@
 package io.quetzalfield.forwarding.fleet
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.getOrElse
+import arrow.core.right
 import io.quetzalfield.forwarding.DecisionLog
 import io.quetzalfield.model.Incarnation
 import io.quetzalfield.store.KeyValueError
@@ -63,7 +65,8 @@
         if (hasLeft) return
         val current = lease
         val revision = recorded
-        if (current == null || revision == null) return join()
+        // A restored store has lost the lease, or may have granted its id to another instance.
+        if (current == null || revision == null || current.era != store.era) return join()
         val terms = MembershipTerms.of(memberCount())
         if (isTooShort(terms)) return record(terms, revision)
         if (isDue(terms)) extend(current)
@@ -76,10 +79,14 @@
         val current = lease ?: return
         lease = null
         recorded = null
-        val result = store.revokeLease(current)
+        val result = if (current.era == store.era) store.revokeLease(current) else deleteRecord()
         DecisionLog.write("membership_left", "lease" to current.value, "error" to result.errorMessage())
     }
 
+    /** Deletes the record that a restored store may contain under a lease of an earlier era. */
+    private fun deleteRecord(): Either<KeyValueError, *> =
+        store.read(key).flatMap { stored -> stored?.let { store.compareAndDelete(key, it.modified) } ?: Unit.right() }
+
     /** Whether the lease was granted for a much smaller fleet, and the list has had time to settle since. */
     private fun isTooShort(terms: MembershipTerms): Boolean {
         val isSettled = joinedAt?.let { it.elapsedNow() >= Settling } ?: false
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembershipTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/MembershipTest.kt
@@ -47,6 +47,28 @@
             assertEquals(1, listed())
         }
 
+        /** Load pattern: the store is restored from a backup, and grants the id of the lost lease again. */
+        @Test
+        fun `it joins again after the store was restored although its lease id is in use`() {
+            val backup = store.backUp()
+            membership.renew()
+            store.restore(backup)
+            assertEquals(0, listed())
+            store.grantLease(60.seconds)
+            membership.renew()
+            assertEquals(1, listed())
+        }
+
+        @Test
+        fun `an instance that leaves after the store was restored is not listed, and ends no other lease`() {
+            membership.renew()
+            store.restore(store.backUp())
+            val other = Membership(store, record.copy(incarnation = Incarnation(InstanceId("front-2"), "start-1")))
+            other.renew()
+            membership.leave()
+            assertEquals(1, listed())
+        }
+
         @Test
         fun `it joins once the store is available again`() {
             store.isDown = true
--- a/store/src/main/kotlin/io/quetzalfield/store/DutyLease.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/DutyLease.kt
@@ -33,8 +33,13 @@
  * A duty that is guaranteed to be held until [validUntil].
  *
  * @property fencingNumber increases with every new holder of the duty.
+ * @property era the era in which the duty was acquired; a store that has been restored since no longer has its lease.
  */
-public data class HeldDuty(val fencingNumber: Long, val validUntil: ComparableTimeMark) {
+public data class HeldDuty(
+    val fencingNumber: Long,
+    val validUntil: ComparableTimeMark,
+    val era: StoreEra = StoreEra.First,
+) {
     /** Whether the duty may be acted on now. Check immediately before each action: the process may have been paused. */
     public val isValid: Boolean get() = validUntil.hasNotPassedNow()
 }
@@ -61,7 +66,7 @@
     private var lastHeld: HeldDuty? = null
 
     /** The duty if it is certainly held now, otherwise `null`. */
-    public val held: HeldDuty? get() = lastHeld?.takeIf(HeldDuty::isValid)
+    public val held: HeldDuty? get() = lastHeld?.takeIf { it.isValid && it.era == store.era }
 
     /** Whether this holder has a lease for the duty, regardless of what the store contains. */
     internal val hasLease: Boolean get() = synchronized(this) { lease != null }
@@ -110,7 +115,7 @@
         val stored = store.read(key).getOrElse { return }
         val isOwn = stored != null && DutyRecord.fromJson(stored.value) == DutyRecord(holder, current.value)
         if (stored != null && isOwn) {
-            lastHeld = HeldDuty(stored.created.value, sentAt + timeToLive - margin)
+            lastHeld = HeldDuty(stored.created.value, sentAt + timeToLive - margin, current.era)
         } else {
             release()
         }
