Do not complete a roll-out whose version has answered nothing

Cause: the schedule completes a version against which nothing speaks. Without a single answer nothing can; the partial share ended at a time limit, whether or not it had had any effect.

Evidence: RolloutScheduleTest, a version that has answered nothing; on the code before the share was 1.0 after 20 s of 24 s.

Why this works: while the previous versions answer and the service has enough requests for the partial share to contain some, a version without an answer stays at that share and is reverted at the end of the ramp. A service with few requests completes in time, as before.

A good version that no instance can reach for a whole ramp is reverted too. It would get every request otherwise.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
@@ -4,6 +4,7 @@
 import io.quetzalfield.decision.RolloutObservations
 import io.quetzalfield.decision.RolloutTest
 import io.quetzalfield.decision.RolloutVerdict
+import io.quetzalfield.decision.StopCause
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -29,7 +30,8 @@
  * of all requests between order and deadline. The new version therefore keeps a small share for the first half, in
  * which sessions must not change versions either, then the share grows in two steps, and the roll-out completes with
  * time to spare. With much traffic the first share is smaller, as the test needs no more answers than with little.
- * The share does not grow while there is doubt, which needs less evidence than an immediate revert.
+ * The share does not grow while there is doubt, which needs less evidence than an immediate revert. A version that has
+ * answered nothing, although the service had enough requests, is not proven healthy and is never completed.
  */
 public class RolloutSchedule(private val test: RolloutTest = RolloutTest()) {
     /**
@@ -50,24 +52,27 @@
         val doubt = RolloutDoubt.of(new, baseline)
         val isInconclusive = doubt != null || new.timed < MINIMUM_TIMED
         val partial = ScheduledStep.Share(if (doubt == null) PARTIAL_SHARE else share)
+        val isUnanswered = new == RolloutObservations() && baseline.answers > 0 &&
+            requestsPerSecond * ramp.inWholeSeconds >= PROVING_REQUESTS
         val isEnding = ramp - elapsed < completionMargin(ramp)
         val progress = elapsed / ramp
         return when {
             verdict is RolloutVerdict.Harmful -> ScheduledStep.Revert("worse by ${verdict.cause.name.lowercase()}")
-
             progress < CANARY_END -> ScheduledStep.FirstShare(firstShare(requestsPerSecond, progress))
-
             progress < PARTIAL_END -> partial
-
+            isUnanswered -> awaitAnswers(progress, share)
             progress < LATEST_PARTIAL_END && isInconclusive && share < 1 -> partial
+            else -> lastStep(doubt, share, isEnding)
+        }
+    }
 
-            doubt != null && (share < 1 || isEnding) ->
-                ScheduledStep.Revert("doubtful by ${doubt.name.lowercase()}")
-
-            isEnding -> ScheduledStep.Complete
+    private fun awaitAnswers(progress: Double, share: Double): ScheduledStep =
+        if (progress < 1) ScheduledStep.Share(maxOf(share, PARTIAL_SHARE)) else ScheduledStep.Revert("without answers")
 
-            else -> ScheduledStep.Share(1.0)
-        }
+    private fun lastStep(doubt: StopCause?, share: Double, isEnding: Boolean): ScheduledStep = when {
+        doubt != null && (share < 1 || isEnding) -> ScheduledStep.Revert("doubtful by ${doubt.name.lowercase()}")
+        isEnding -> ScheduledStep.Complete
+        else -> ScheduledStep.Share(1.0)
     }
 
     /** Time from the announcement of the first share until it applies, in which instances exchange their sessions. */
@@ -106,6 +111,9 @@
         /** Timed answers that reveal a version which answers half of its requests several times slower. */
         const val MINIMUM_TIMED = 30
 
+        /** Requests for the service in one ramp of which the partial share contains some, practically always. */
+        const val PROVING_REQUESTS = 100
+
         /** Part of the ramp for which the first share waits until the rate of requests is known. */
         const val TRAFFIC_WAIT_PART = 0.2
 
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutScheduleTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutScheduleTest.kt
@@ -86,6 +86,24 @@
         assertIs<ScheduledStep.Revert>(schedule.next(23.seconds, 24.seconds, doubtful, healthy, 20.0, share = 1.0))
     }
 
+    /** In EXPOSURE, a bad version that no request had reached was completed and then got every request. */
+    @Test
+    fun `a version that has answered nothing is not completed while the service has requests`() {
+        val none = RolloutObservations()
+        for (elapsed in listOf(14, 17, 20, 22, 23)) {
+            assertEquals(ScheduledStep.Share(0.3), next(elapsed.seconds, none), "after $elapsed s")
+        }
+        assertIs<ScheduledStep.Revert>(next(24.seconds, none))
+        assertEquals(ScheduledStep.Complete, next(23.seconds, healthy))
+    }
+
+    /** Load pattern: a service with a request now and then. */
+    @Test
+    fun `a version of a service without enough requests is completed in time`() {
+        assertEquals(ScheduledStep.Share(1.0), next(20.seconds, RolloutObservations(), requestsPerSecond = 0.5))
+        assertEquals(ScheduledStep.Complete, next(23.seconds, RolloutObservations(), requestsPerSecond = 0.5))
+    }
+
     /** Load pattern: half of the new version's requests are several times slower, and none fails. */
     @Test
     fun `a version that answers half of its requests slowly is reverted within a few answers`() {
