Continue a roll-out whose order is written again after a restoration

Cause: an order was known by its revision alone. The one that the operator wrote again had a lower number, so that instances ignored the steps for it as those of an older order, while the holder of the duty advanced them on its own. With the era in the revision it would be a new order, whose first half moves sessions back to the previous version.

Why this works: an order for the same target in a later era continues the roll-out. Instances carry the step and the sessions that stay on the previous version over to it, and store these again. The holder begins at the furthest of the stored step and its own, in the time of the first order, and reports an end that it had reached again. A step of the restored record that undoes progress of the same order is ignored.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -14,6 +14,7 @@
 import io.quetzalfield.forwarding.choice.ExpectedStartPlacement
 import io.quetzalfield.forwarding.choice.HeldSessions
 import io.quetzalfield.forwarding.choice.RetryAllowance
+import io.quetzalfield.forwarding.choice.RolloutStep
 import io.quetzalfield.forwarding.choice.ScarceCapacity
 import io.quetzalfield.forwarding.choice.SessionHolds
 import io.quetzalfield.forwarding.choice.VersionSplit
@@ -135,6 +136,7 @@
         requestsPerSecond = { service ->
             eventLoop.submit<Double> { context.retryAllowance.requestsPerSecond(service) }.get()
         },
+        knownStep = { service -> eventLoop.submit<RolloutStep?> { context.versions.stepOf(service) }.get() },
         storeHolds = { storeHolds { sessionHolds.knownNotStored } },
     )
     private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS, DefaultThreadFactory("duties", true))
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/SessionHolds.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/SessionHolds.kt
@@ -28,6 +28,13 @@
         val local = LinkedHashSet<Long>()
         val remote = LinkedHashSet<Long>()
         val stored = HashSet<Long>()
+
+        /** The same sessions for the order at [revision]; a restored store may have lost those that were stored. */
+        fun continuedAt(revision: StoreRevision) = Holds(revision).also {
+            it.local += local
+            it.remote += remote
+            it.remote += stored
+        }
     }
 
     private val holds = HashMap<ServiceId, Holds>()
@@ -76,6 +83,11 @@
         return session in held.local || session in held.remote || session in held.stored
     }
 
+    /** Keeps the sessions of [service] for its order, which after the store was restored is at [orderRevision]. */
+    internal fun continueAt(service: ServiceId, orderRevision: StoreRevision) {
+        if (service in holds) holdsOf(service, orderRevision)
+    }
+
     /** Releases the sessions of [service]; called when its roll-out is not at the first share. */
     public fun release(service: ServiceId) {
         holds.remove(service)
@@ -85,7 +97,9 @@
         val known = holds[service]
         if (known != null && known.orderRevision > orderRevision) return null
         if (known?.orderRevision == orderRevision) return known
-        return Holds(orderRevision).also { holds[service] = it }
+        val isSameOrder = known != null && known.orderRevision.era < orderRevision.era
+        val continued = if (known != null && isSameOrder) known.continuedAt(orderRevision) else Holds(orderRevision)
+        return continued.also { holds[service] = it }
     }
 
     public companion object {
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/VersionSplit.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/VersionSplit.kt
@@ -33,6 +33,28 @@
     val share: Double,
     val firstShare: Double = 0.0,
 ) {
+    /** Whether the roll-out has ended. */
+    internal val hasEnded: Boolean get() = phase != RolloutPhase.RUNNING
+
+    /**
+     * Whether this step is of the same roll-out as an order for [target] at [revision]: of that order, or of the same
+     * one before the store was restored and the operator wrote it again.
+     */
+    internal fun belongsTo(target: VersionId, revision: StoreRevision): Boolean =
+        this.target == target && (orderRevision == revision || orderRevision.era < revision.era)
+
+    /** Whether [later] undoes progress of the same order, as the record in a restored store does. */
+    internal fun isAheadOf(later: RolloutStep): Boolean =
+        orderRevision == later.orderRevision && (hasEnded || progress > later.progress)
+
+    /** Orders the steps of one roll-out. */
+    internal val progress: Double
+        get() = when {
+            hasEnded -> Double.MAX_VALUE
+            share > 0 -> 1 + share
+            else -> firstShare
+        }
+
     /** Whether the first share is announced or in effect, so that active sessions stay on the previous version. */
     internal val isAtFirstShare: Boolean
         get() = phase == RolloutPhase.RUNNING && firstShare > 0 && share <= firstShare
@@ -68,6 +90,9 @@
     private val firstSeen = HashMap<Pair<ServiceId, VersionId>, ComparableTimeMark>()
     private val orders = HashMap<ServiceId, Pair<VersionId, StoreRevision>>()
 
+    /** The latest step of a roll-out of [service]; `null` without one. */
+    public fun stepOf(service: ServiceId): RolloutStep? = steps[service]
+
     /** The step of the running roll-out of [service]; `null` without one. */
     public fun runningStepOf(service: ServiceId): RolloutStep? =
         steps[service]?.takeIf { it.phase == RolloutPhase.RUNNING }
@@ -79,18 +104,22 @@
     /** The target and revision of the operator's order for [service]. */
     public fun orderOf(service: ServiceId): Pair<VersionId, StoreRevision>? = orders[service]
 
-    /** Sets the operator's order for [service]; until its first step the target gets no requests. */
+    /**
+     * Sets the operator's order for [service]; until its first step the target gets no requests. An order that has been
+     * written again after the store was restored continues at the step that it had reached.
+     */
     public fun applyOrder(service: ServiceId, target: VersionId, revision: StoreRevision) {
         orders[service] = target to revision
+        val reached = steps[service]?.takeIf { it.belongsTo(target, revision) } ?: return
+        steps[service] = reached.copy(orderRevision = revision)
+        holds.continueAt(service, revision)
     }
 
     /** Applies a step and returns whether it changed anything. A step of an older order is ignored. */
     public fun applyStep(step: RolloutStep): Boolean {
         val current = steps[step.service]
         if (current != null && current.orderRevision > step.orderRevision) return false
-        val hasEnded = current != null && current.phase != RolloutPhase.RUNNING
-        if (current?.orderRevision == step.orderRevision && hasEnded) return false
-        if (current == step) return false
+        if (current == step || current?.isAheadOf(step) == true) return false
         steps[step.service] = step
         if (step.isAtFirstShare) holdSessions(step) else holds.release(step.service)
         return true
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/RolloutDuty.kt
@@ -36,7 +36,11 @@
     val target: VersionId,
     val ramp: Duration,
     val revision: StoreRevision,
-)
+) {
+    /** Whether the operator has written this order in place of [earlier], after the store was restored. */
+    internal fun isWrittenAgainFrom(earlier: RolloutOrder): Boolean =
+        service == earlier.service && target == earlier.target && revision.era > earlier.revision.era
+}
 
 /** Reports the progress of roll-outs to the operator. */
 public fun interface RolloutReports {
@@ -68,6 +72,7 @@
  * Carries out roll-outs while this instance holds the duty. All instances follow the steps that it stores; a new holder
  * continues from the stored step.
  *
+ * @param knownStep the latest step of a service that this instance knows, which a restored store may lack.
  * @param storeHolds stores the sessions that stay on the previous version; called before the first share applies.
  */
 public class RolloutDuty(
@@ -78,19 +83,25 @@
     private val clock: Clock = Clock.System,
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     private val requestsPerSecond: (ServiceId) -> Double = { 0.0 },
+    private val knownStep: (ServiceId) -> RolloutStep? = { null },
     private val storeHolds: () -> Unit = {},
 ) {
-    private val firstSeen = ConcurrentHashMap<StoreRevision, ComparableTimeMark>()
+    private val firstSeen = ConcurrentHashMap<RolloutOrder, ComparableTimeMark>()
 
     /** When this instance first saw the announcement of a first share, by the revision of the order. */
     private val announced = ConcurrentHashMap<StoreRevision, ComparableTimeMark>()
 
-    /** Sets the orders in force, from any thread. The time of an order counts from the first call with it. */
+    /**
+     * Sets the orders in force, from any thread. The time of an order counts from the first call with it, also if it
+     * has been written again since, after the store was restored.
+     */
     public fun setOrders(orders: List<RolloutOrder>) {
-        val revisions = orders.mapTo(HashSet()) { it.revision }
-        firstSeen.keys.retainAll(revisions)
-        announced.keys.retainAll(revisions)
-        orders.forEach { firstSeen.putIfAbsent(it.revision, timeSource.markNow()) }
+        for (order in orders) {
+            val earlier = firstSeen.filterKeys(order::isWrittenAgainFrom).values.minOrNull()
+            firstSeen.putIfAbsent(order, earlier ?: timeSource.markNow())
+        }
+        firstSeen.keys.retainAll(orders.toSet())
+        announced.keys.retainAll(orders.mapTo(HashSet()) { it.revision })
     }
 
     /** Takes the next step of each of [orders] while this instance holds the duty. */
@@ -106,16 +117,22 @@
         val current = record?.takeIf { it.step.orderRevision == order.revision }
         val revision = stored?.modified ?: StoreRevision.Absent
         when {
-            current == null -> begin(order, key, revision)
+            current == null -> begin(order, key, revision, record)
             current.step.phase == RolloutPhase.RUNNING -> proceed(order, key, revision, current)
             !current.isReported -> report(order, key, revision, current)
         }
     }
 
-    private fun begin(order: RolloutOrder, key: String, revision: StoreRevision) {
-        val step = RolloutStep(order.service, order.target, order.revision, RolloutPhase.RUNNING, share = 0.0)
-        val record = RolloutRecord(step, clock.now().toEpochMilliseconds())
+    /** Writes the first record of [order], which continues the roll-out if the order has been written again. */
+    private fun begin(order: RolloutOrder, key: String, revision: StoreRevision, earlier: RolloutRecord?) {
+        val stored = earlier?.takeIf { it.step.belongsTo(order.target, order.revision) }
+        val known = knownStep(order.service)?.takeIf { it.belongsTo(order.target, order.revision) }
+        val step = listOfNotNull(known, stored?.step).maxByOrNull(RolloutStep::progress)
+            ?.copy(orderRevision = order.revision)
+            ?: RolloutStep(order.service, order.target, order.revision, RolloutPhase.RUNNING, share = 0.0)
+        val record = RolloutRecord(step, stored?.startedAt ?: clock.now().toEpochMilliseconds())
         val written = write(key, revision, record) ?: return
+        if (step.hasEnded) return report(order, key, written, record)
         // Reported first, as the next step may be the last one, with a report of its own.
         reports.report(order, RolloutPhase.RUNNING)
         proceed(order, key, written, record)
@@ -154,7 +171,7 @@
         )
         val record = current.copy(step = step)
         val written = write(key, revision, record) ?: return
-        if (step.phase != RolloutPhase.RUNNING) report(order, key, written, record)
+        if (step.hasEnded) report(order, key, written, record)
     }
 
     /** Announces the first share, and applies it once the instances have had time to exchange their sessions. */
@@ -177,7 +194,7 @@
 
     /** Time since the order: by the holder's own clock if it saw the order arrive, otherwise by the stored start. */
     private fun elapsed(order: RolloutOrder, current: RolloutRecord): Duration {
-        val own = firstSeen[order.revision]?.elapsedNow() ?: Duration.ZERO
+        val own = firstSeen[order]?.elapsedNow() ?: Duration.ZERO
         val stored = (clock.now().toEpochMilliseconds() - current.startedAt).milliseconds
         return maxOf(own, stored.coerceAtMost(own + LongestTakeover))
     }
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/VersionSplitTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/VersionSplitTest.kt
@@ -29,6 +29,61 @@
     private fun step(share: Double, phase: RolloutPhase = RolloutPhase.RUNNING, revision: Long = 7) =
         RolloutStep(service, VersionId("v2"), StoreRevision(revision), phase, share)
 
+    /** Load pattern: the store is restored, and the operator writes the order again at a lower number. */
+    @Nested
+    inner class Restored {
+        private val first = StoreRevision.of(StoreEra(1), 90)
+        private val again = StoreRevision.of(StoreEra(2), 40)
+
+        private fun step(revision: StoreRevision, share: Double, phase: RolloutPhase = RolloutPhase.RUNNING) =
+            RolloutStep(service, VersionId("v2"), revision, phase, share)
+
+        private fun newShare() = (1..1_000).count { versionsOf("session-$it").toSet() == setOf("v2") } / 1_000.0
+
+        private fun begin(step: RolloutStep) {
+            split.applyOrder(service, VersionId("v2"), first)
+            split.applyStep(step)
+        }
+
+        /** In EXPOSURE, the steps of the order that was written again were ignored, as its revision was lower. */
+        @Test
+        fun `the steps of an order that is written again are followed`() {
+            begin(step(first, share = 0.0))
+            split.applyOrder(service, VersionId("v2"), again)
+            assertTrue(split.applyStep(step(again, share = 0.3)))
+            assertEquals(0.3, newShare(), absoluteTolerance = 0.05)
+        }
+
+        @Test
+        fun `the share and the end of an order are kept while its next step is not known`() {
+            begin(step(first, share = 0.3))
+            split.applyOrder(service, VersionId("v2"), again)
+            assertEquals(0.3, newShare(), absoluteTolerance = 0.05)
+            split.applyStep(step(again, share = 0.0, RolloutPhase.REVERTED))
+            split.applyOrder(service, VersionId("v2"), StoreRevision.of(StoreEra(3), 20))
+            assertEquals(0.0, newShare())
+        }
+
+        @Test
+        fun `an earlier step of the same order in the backup does not take progress back`() {
+            begin(step(first, share = 0.3))
+            assertFalse(split.applyStep(step(first, share = 0.1)))
+            assertTrue(split.applyStep(step(first, share = 1.0)))
+            split.applyOrder(service, VersionId("v2"), again)
+            assertFalse(split.applyStep(step(again, share = 0.3)))
+            assertFalse(split.applyStep(step(first, share = 1.0, RolloutPhase.COMPLETE)))
+        }
+
+        @Test
+        fun `an order for another version or of the same era begins anew`() {
+            begin(step(first, share = 0.3))
+            split.applyOrder(service, VersionId("v2"), StoreRevision.of(StoreEra(1), 95))
+            assertEquals(0.0, newShare())
+            split.applyOrder(service, VersionId("v3"), again)
+            assertEquals(0.0, newShare())
+        }
+    }
+
     private fun versionsOf(session: String, candidates: List<Endpoint> = old + new) =
         split.filter(service, RolloutSubject(session, isSession = true), candidates).map {
             it.description.version.value
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/HoldRecordsTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/HoldRecordsTest.kt
@@ -99,6 +99,20 @@
             assertFalse(holds.isHeld(service, orderRevision = StoreRevision(9), session = 3))
         }
 
+        /** Load pattern: the store is restored and lacks the record, and the order is written again. */
+        @Test
+        fun `sessions stay held and are stored again for an order of a later era`() {
+            val again = StoreRevision.of(StoreEra(1), 3)
+            val holds = SessionHolds()
+            holds.hold(service, orderRevision = StoreRevision(7), session = 1)
+            holds.addStored(held(7, 1, 2))
+            holds.continueAt(service, again)
+            assertEquals(listOf(HeldSessions(service, again, listOf(1, 2))), holds.knownNotStored)
+            assertTrue(holds.isHeld(service, again, session = 2))
+            holds.addStored(held(7, 1, 2))
+            assertEquals(1, holds.localNotStored.size)
+        }
+
         /** Any instance may be restarted at any time; only stored sessions outlive their instance. */
         @Test
         fun `no session that was stored is lost in any order of restarts`() {
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/RolloutDutyTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/fleet/RolloutDutyTest.kt
@@ -8,10 +8,14 @@
 import io.quetzalfield.model.VersionId
 import io.quetzalfield.store.DutyLease
 import io.quetzalfield.store.PlatformJson
+import io.quetzalfield.store.StoreEra
 import io.quetzalfield.store.StoreRevision
 import io.quetzalfield.store.fakes.InMemoryKeyValueStore
+import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -28,18 +32,21 @@
 
     private inner class Holder(name: String) {
         private val incarnation = Incarnation(InstanceId(name), "1")
+        val held get() = lease.held
         private val lease = DutyLease(store, "version-rollouts", incarnation, 3.seconds, 500.milliseconds, time)
+        var knownStep: RolloutStep? = null
         private val duty = RolloutDuty(
             store = store,
             lease = lease,
             reports = { _, phase -> reports.add(start.elapsedNow() to phase) },
             timeSource = time,
             requestsPerSecond = { requestsPerSecond },
+            knownStep = { knownStep },
         )
 
-        fun see() = duty.setOrders(listOf(order))
+        fun see(order: RolloutOrder = this@RolloutDutyTest.order) = duty.setOrders(listOf(order))
 
-        fun work() {
+        fun work(order: RolloutOrder = this@RolloutDutyTest.order) {
             lease.renew()
             duty.work(listOf(order))
         }
@@ -114,6 +121,71 @@
         assertEquals(listOf(RolloutPhase.RUNNING, RolloutPhase.COMPLETE), reports.map { it.second })
     }
 
+    /** Load pattern: the store is restored from a backup, and the operator writes the order again. */
+    @Nested
+    inner class Restored {
+        private val empty = store.backUp()
+        private val again = order.copy(revision = StoreRevision.of(StoreEra(1), 3))
+
+        private fun workOn(holder: Holder, period: Duration) {
+            val begin = time.markNow()
+            while (begin.elapsedNow() < period) {
+                time += Period
+                holder.work(again)
+            }
+        }
+
+        @Test
+        fun `a holder whose lease the restored store lacks no longer holds the duty`() {
+            val holder = Holder("front-1").also { it.see() }
+            work(holder, 4.seconds)
+            store.restore(empty)
+            assertNull(holder.held)
+            workOn(holder, Period * 2)
+            assertNotNull(holder.held)
+        }
+
+        @Test
+        fun `the roll-out continues at the step that the instance knows, in the time of the first order`() {
+            val holder = Holder("front-1").also { it.see() }
+            work(holder, 16.seconds)
+            val before = checkNotNull(step)
+            assertTrue(before.share > 0)
+            store.restore(empty)
+            holder.knownStep = before
+            holder.see(again)
+            workOn(holder, Period * 2)
+            assertEquals(before.share to again.revision, step?.let { it.share to it.orderRevision })
+            workOn(holder, 7.seconds)
+            assertEquals(RolloutPhase.COMPLETE, step?.phase)
+            assertTrue(reports.last().first <= order.ramp)
+        }
+
+        @Test
+        fun `a roll-out that had ended is reported again and not begun anew`() {
+            val holder = Holder("front-1").also { it.see() }
+            work(holder, order.ramp + 1.seconds)
+            val ended = checkNotNull(step)
+            store.restore(empty)
+            reports.clear()
+            holder.knownStep = ended
+            holder.see(again)
+            workOn(holder, 3.seconds)
+            assertEquals(listOf(RolloutPhase.COMPLETE), reports.map { it.second })
+            assertEquals(ended.copy(orderRevision = again.revision), step)
+        }
+
+        @Test
+        fun `a holder that knows nothing continues at the step of the backup`() {
+            work(Holder("front-1").also { it.see() }, 16.seconds)
+            val before = checkNotNull(step)
+            store.restore(store.backUp())
+            val next = Holder("front-2").also { it.see(again) }
+            workOn(next, 5.seconds)
+            assertTrue(checkNotNull(step).share >= before.share)
+        }
+    }
+
     private companion object {
         val Period = 840.milliseconds
     }
