Keep what a restored store lacks until its writers have written it again

The backup lacked an order to evacuate a failure domain, and requests reached its endpoints until the operator had written the order again.

Cause: a key that a listing lacks counted as deleted. In a listing of a later era it may be one that was written after the backup, and which its writer is about to write again. The same removed endpoints and members that were alive, so that callers were refused or sessions moved.

A deletion that is reported in the later era is applied at once. The time does not run while the store is away, as its writers may not reach it either. What is dropped after it is logged as keys_not_restored.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -349,7 +349,12 @@
 
         /** Members change rarely, and a step of a roll-out is received at once. */
         private val FleetFollowSettings =
-            FollowSettings(wait = 4.seconds, relistInterval = 10.seconds, longestBatchPause = 320.milliseconds)
+            FollowSettings(
+                wait = 4.seconds,
+                relistInterval = 10.seconds,
+                longestBatchPause = 320.milliseconds,
+                restorationAllowance = 5.seconds,
+            )
 
         /** Time after which another instance takes over the duty of one that has died. */
         private val DutyTimeToLive = 3.seconds
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayedStore.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/relay/RelayedStore.kt
@@ -99,6 +99,7 @@
     private fun update() {
         decodeMembers()
         continueStart()
+        parts.values.forEach(Part::dropUnrestored)
         dropFailedLinks()
         val target = preference.target(isReadingLost)
         if (target == null) dropUnlistedRelay() else use(target)
@@ -247,7 +248,7 @@
         private val follower: StoreFollower,
         private val settings: FollowSettings,
     ) {
-        val mirror = PartMirror()
+        val mirror = PartMirror(timeSource)
         private var directFollower: DirectFollower? = null
         private var isLost = false
         private var confirmed: CallTime? = null
@@ -273,20 +274,32 @@
         fun replace(state: List<StoredValue>, listed: StoreRevision) {
             onAvailable()
             val isFirst = !mirror.isComplete
-            val changes = mirror.replace(state)
+            val changes = mirror.replace(state, listed)
             if (isFirst) {
                 follower.onState(mirror.state, listed)
                 server.sendState(prefix, mirror.state)
             } else {
-                changes.forEach(follower::onChange)
-                server.sendChanges(prefix, changes)
+                report(changes)
             }
         }
 
+        private fun report(changes: List<StoreChange>) {
+            changes.forEach(follower::onChange)
+            server.sendChanges(prefix, changes)
+        }
+
+        /** Drops keys that nobody has written again since the store was restored. */
+        fun dropUnrestored() {
+            // While the store does not answer, its writers may not reach it either.
+            if (isLost || isReadingLost) return
+            val dropped = mirror.dropUnrestored(settings.restorationAllowance)
+            if (dropped.isEmpty()) return
+            DecisionLog.write("keys_not_restored", "prefix" to prefix, "keys" to dropped.map(StoreChange::key))
+            report(dropped)
+        }
+
         fun update(change: StoreChange) {
-            if (!mirror.update(change)) return
-            follower.onChange(change)
-            server.sendChanges(prefix, listOf(change))
+            if (mirror.update(change)) report(listOf(change))
         }
 
         fun confirm(sent: CallTime) {
--- a/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
+++ b/store/src/main/kotlin/io/quetzalfield/store/FollowableStore.kt
@@ -52,6 +52,8 @@
  * store drops its history.
  * @property batchPause pause after a response with changes, so that the next response contains several.
  * @property longestBatchPause the same while changes go on, as when many instances start; it grows up to this.
+ * @property restorationAllowance time for which a key that a restored store lacks is not taken for deleted, as its
+ * writer may write it again.
  * @property confirmation key that is read in addition to the watch to confirm that the part is current; `null` if the
  * listings suffice.
  */
@@ -60,6 +62,7 @@
     val relistInterval: Duration = 3.seconds,
     val batchPause: Duration = 20.milliseconds,
     val longestBatchPause: Duration = batchPause,
+    val restorationAllowance: Duration = 3.seconds,
     val confirmation: Confirmation? = null,
 )
 
