Look for the head of another response once, byte by byte

The answer's body of 192 KB repeated the first line of the answer without an end of line.

Cause: whether a body contains the head of another response was decided by an expression whose part for the rest of a status line starts again at each status line of the same line. Its work grows with the square of the length, on the event loop, for a body of up to 8 MB and for each event of a stream of up to 256 KB.

Events are checked in the pass that looks for their end.

Looked for elsewhere: the other expressions on what endpoints and callers send match a whole token of bounded length.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EventSplitter.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/EventSplitter.kt
@@ -16,6 +16,8 @@
 public class EventSplitter : AutoCloseable {
     private val pending: CompositeByteBuf = Unpooled.compositeBuffer(COMPONENT_LIMIT)
 
+    private val detector = ResponseHeadDetector()
+
     /** Number of bytes of the incomplete event that have been scanned. */
     private var scanned = 0
     private var isLineEmpty = true
@@ -34,8 +36,8 @@
         while (true) {
             val length = lengthOfFirstEvent() ?: break
             val bytes = pending.readBytes(length)
-            val text = bytes.toString(Charsets.UTF_8)
-            events += StreamEvent(bytes, numberOf(text), ResponseHeadCheck.containsHead(text))
+            events += StreamEvent(bytes, numberOf(bytes.toString(Charsets.UTF_8)), detector.containsHead)
+            detector.reset()
         }
         pending.discardReadComponents()
         return events
@@ -48,7 +50,9 @@
     /** Length up to and including the first blank line; lines end with LF or CR LF. Scans each byte once. */
     private fun lengthOfFirstEvent(): Int? {
         while (scanned < pending.readableBytes()) {
-            when (pending.getByte(pending.readerIndex() + scanned++)) {
+            val byte = pending.getByte(pending.readerIndex() + scanned++)
+            detector.accept(byte)
+            when (byte) {
                 LINE_FEED -> {
                     if (isLineEmpty && hasField) return scanned.also { resetScan() }
                     hasField = hasField || !isLineEmpty
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/http/EventSplitterTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/http/EventSplitterTest.kt
@@ -44,4 +44,14 @@
     fun `an event without an id has no number`() {
         assertEquals(listOf(null to "data: a\n\n"), add("data: a\n\n"))
     }
+
+    @Test
+    fun `only the event that contains the head of a response is marked`() {
+        val filledUp = "id: 1\ndata: HTTP/1.1 200 OK\r\nServer: one\r\n\r\n"
+        val events = listOf("id: 0\n\n", filledUp, "id: 2\ndata: HTTP/1.1 200 OK\r\ndata: two\r\n\r\n")
+        val marked = splitter.add(Unpooled.copiedBuffer(events.joinToString(""), Charsets.UTF_8)).map { event ->
+            event.containsHead.also { event.bytes.release() }
+        }
+        assertEquals(listOf(false, true, false), marked)
+    }
 }
