--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterMetrics.kt
@@ -3,11 +3,13 @@
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.quetzalfield.forwarding.endpoints.LimitChange
 import io.quetzalfield.forwarding.http.AnswerReason
 import io.quetzalfield.forwarding.intake.IntakeMetrics
+import io.quetzalfield.store.StoreEra
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -89,6 +91,14 @@
         (LimitChange.entries - LimitChange.NONE).forEach { limitChanges.initLabelValues(it.name.lowercase()) }
     }
 
+    /** Exports the era of the store, as [era] returns it. */
+    internal fun exportStoreEra(era: () -> StoreEra) {
+        GaugeWithCallback.builder().name("quetzalfield_store_era")
+            .help("Number of times that the store was restored from a backup, as it last stated")
+            .callback { it.call(era().value.toDouble()) }
+            .register(registry)
+    }
+
     /** Counts an answer of an endpoint, [after] the arrival of its request. */
     public fun countForwarded(status: Int, after: Duration) {
         answers.labelValues("endpoint", status.toString()).inc()
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -163,6 +163,7 @@
         val listeners = HttpListeners(group, settings.intakeLimits.queryConnections)
         listeners.listenForQueries(settings.readinessAddress, ::answerReadiness)
         settings.directoryAddress?.let { listeners.listenForQueries(it, ::answerDirectory) }
+        metrics.exportStoreEra(platform.store::era)
         listeners.listenForQueries(HostPort(settings.callerAddress.host, settings.metricsPort), ::answerMetrics)
         callerListener = listeners.listenForCallers(settings.callerAddress, context, callers)
         settings.peerAddress?.let(workExchange::start)
