Keep the members that a restored store lacks until their next extension

In a fleet of 64 and more an instance extends its lease each 8 s, and notices then that the store has lost it. Found by reading: the time for which the others kept its record was 5 s, so that it was not listed for up to 3 s.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/RouterProgram.kt
@@ -354,7 +354,8 @@
                 wait = 4.seconds,
                 relistInterval = 10.seconds,
                 longestBatchPause = 320.milliseconds,
-                restorationAllowance = 5.seconds,
+                // A member joins again when it would have extended its lease, after 8 s at most.
+                restorationAllowance = 10.seconds,
             )
 
         /** Time after which another instance takes over the duty of one that has died. */
