Search for the beginning of a status line before checking each byte

Suspected, not shown: the check of bodies, which had become slower with the change to single bytes.

While no status line has begun, nothing of what was received matters to what follows, so that the next character that may begin one is searched for. Bytes are still read once, and one more at the beginning of a search; ResponseHeadDetectorTest holds with its 20,000 bodies.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/ResponseHeadDetector.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/http/ResponseHeadDetector.kt
@@ -25,11 +25,25 @@
     /** The name of a field in the line after a status line, as far as received; `null` outside of one. */
     private var name: StringBuilder? = null
 
-    private val processor = ByteProcessor { byte -> true.also { accept(byte) } }
+    /** Whether nothing that has been received matters to what follows. */
+    private val isIdle: Boolean get() = matched == 0 && !isStatusLine && name == null
+
+    private val processor = ByteProcessor { byte ->
+        accept(byte)
+        !isIdle
+    }
 
     /** Takes the readable bytes of [content], without changing its indices. */
     fun add(content: ByteBuf) {
-        content.forEachByte(processor)
+        var index = content.readerIndex()
+        while (index < content.writerIndex()) {
+            // Most bodies contain few of these characters, which are found faster than by a look at each byte.
+            if (isIdle) index = content.indexOf(index, content.writerIndex(), FirstOfStatusLine)
+            if (index < 0) return
+            val last = content.forEachByte(index, content.writerIndex() - index, processor)
+            if (last < 0) return
+            index = last + 1
+        }
     }
 
     /** Takes one byte. */
@@ -37,6 +51,7 @@
 
     /** Takes one byte as a character of ISO 8859-1. */
     fun accept(byte: Char) {
+        if (isIdle && byte != STATUS_LINE_FORM[0]) return
         if (!containsHead) acceptName(byte)
         matched = lengthMatchedWith(byte, matched)
         if (matched == STATUS_LINE_FORM.length) {
@@ -106,6 +121,7 @@
 
         /** A zero stands for any digit. */
         const val STATUS_LINE_FORM = "HTTP/0.0 000"
+        val FirstOfStatusLine = STATUS_LINE_FORM[0].code.toByte()
 
         val NameCharacters = '!'..'~'
 
