--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/StoredEvidence.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/fleet/StoredEvidence.kt
@@ -59,10 +59,10 @@
     private val timeSource: TimeSource.WithComparableMarks,
     private val memberCount: () -> Int,
 ) {
-    private class Contact(var lastAt: ComparableTimeMark) {
-        /** The latest step at the last interruption, whose records may be older than that. */
-        var interruptedStep = 0
-        var step = 0
+    /** The holder's contact with the store for one order, which begins as if after an interruption. */
+    private class Contact(var lastAt: ComparableTimeMark, var step: Int) {
+        /** The latest step at the last interruption; records that confirm it may be older than that. */
+        var interruptedStep = step
         var stepSince = lastAt
     }
 
@@ -95,14 +95,7 @@
 
     private fun contactOf(order: RolloutOrder, step: RolloutStep): Contact {
         val now = timeSource.markNow()
-        val contact = contacts[order.revision]
-        if (contact == null) {
-            val first = Contact(now).apply {
-                interruptedStep = step.number
-                this.step = step.number
-            }
-            return first.also { contacts[order.revision] = it }
-        }
+        val contact = contacts.getOrPut(order.revision) { Contact(now, step.number) }
         if (now - contact.lastAt > LongestPause) contact.interruptedStep = step.number
         contact.lastAt = now
         if (contact.step != step.number) {
