Allow a sound version more slow answers, and a new holder no weak proof

And a holder of the duty that has just started counts few requests, so that the service could be taken for one with few, whose versions need less proof.

Why this works: a sound version may have a tenth more slow answers, as for a doubt; one that is slow for half of its answers is still told apart.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutEvidence.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutEvidence.kt
@@ -43,20 +43,23 @@
     private val isSpeedLikelySound: Boolean get() = baseline.timed < MINIMUM_TIMED_BASELINE || speedEvidence > 0
 
     private val speedEvidence: Double
-        get() = test.logEvidence(
+        get() = speedTest.logEvidence(
             HarmCount(new.timed, new.slow),
             HarmCount(baseline.timed, baseline.slow),
             Expected.slowRate,
         )
 
-    private fun errorsOf(seen: RolloutObservations): Double = test.logEvidence(
+    private fun errorsOf(seen: RolloutObservations): Double = errorTest.logEvidence(
         HarmCount(seen.answers + seen.errors, seen.errors),
         HarmCount(baseline.answers + baseline.errors, baseline.errors),
         Expected.errorRate,
     )
 
     private companion object {
-        val test = SoundnessTest()
+        val errorTest = SoundnessTest()
+
+        /** Slow answers of a sound version come in groups, when endpoints read prompts. */
+        val speedTest = SoundnessTest(margin = 0.1)
         val Expected = ExpectedRates(slowRate = 0.02)
 
         /** One bad version in 5 gets the full share, under which it is observed further. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
@@ -108,8 +108,12 @@
         return ScheduledStep.Share(if (isTimed && isLikely) 1.0 else PARTIAL_SHARE)
     }
 
-    /** A service with few requests can not give proof in the time of a roll-out. */
-    private fun RolloutEvidence.isSufficient(isBusy: Boolean) = if (isBusy) isProof else isLikelySound
+    /**
+     * A service with few requests can not give proof in the time of a roll-out. Whether it has few is known only after
+     * a while, as the holder of the duty may just have started.
+     */
+    private fun RolloutEvidence.isSufficient(isBusy: Boolean) =
+        isProof || (!isBusy && isLikelySound && stepAge >= AnswerWait)
 
     private val RolloutEvidence.isUnanswered get() = new == RolloutObservations() && baseline.answers > 0
 
