Judge the speed of a version before the full share, not after

Cause: the proof for completion also asked for fast answers. They are timed only while both versions get requests. Five of 17 were slow, as endpoints that have just started are, and under the full share nothing could change that. The doubt by latency had not been met.

Evidence: RolloutScheduleTest, a version with some slow answers before the full share; on the code before it kept the full share without completion.

Why this works: speed decides over the full share, after which the version is still under test for failures. A sound version may have a fifth more slow answers; the doubt, which needs a difference that is rare between equally good versions, is tested first as before.

--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutEvidence.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutEvidence.kt
@@ -27,9 +27,11 @@
     /** Whether the new version is likely enough to be sound to get all requests, which can be taken back. */
     internal val allowsFullShare: Boolean get() = errorsOf(new) >= FullShareEvidence && isSpeedLikelySound
 
-    /** Whether the new version has been proven sound, on the whole and under its current share. */
-    internal val isProof: Boolean
-        get() = errorsOf(atShare) >= ProofAtShare && errorsOf(new) >= Proof && isSpeedLikelySound
+    /**
+     * Whether the new version has been proven not to fail more, on the whole and under its current share. Under the
+     * full share answers are no longer timed, so that speed has to be judged before.
+     */
+    internal val isProof: Boolean get() = errorsOf(atShare) >= ProofAtShare && errorsOf(new) >= Proof
 
     /** Whether the new version has been proven to answer as fast as the previous ones. */
     internal val isSpeedProof: Boolean get() = speedEvidence >= ProofAtShare
@@ -40,7 +42,7 @@
     /** Whether the version has answered under its current share and is more likely sound than not. */
     internal val isLikelySound: Boolean get() = errorsOf(atShare) > 0 && isNotAdverse
 
-    private val isSpeedLikelySound: Boolean get() = baseline.timed < MINIMUM_TIMED_BASELINE || speedEvidence > 0
+    internal val isSpeedLikelySound: Boolean get() = baseline.timed < MINIMUM_TIMED_BASELINE || speedEvidence > 0
 
     private val speedEvidence: Double
         get() = speedTest.logEvidence(
@@ -58,8 +60,8 @@
     private companion object {
         val errorTest = SoundnessTest()
 
-        /** Slow answers of a sound version come in groups, when endpoints read prompts. */
-        val speedTest = SoundnessTest(margin = 0.1)
+        /** Endpoints that have just started are slow, and slow answers come in groups, when endpoints read prompts. */
+        val speedTest = SoundnessTest(margin = 0.2)
         val Expected = ExpectedRates(slowRate = 0.02)
 
         /** One bad version in 5 gets the full share, under which it is observed further. */
--- a/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
+++ b/forwarding/src/main/kotlin/io/quetzalfield/forwarding/choice/RolloutSchedule.kt
@@ -102,7 +102,7 @@
             progress >= LATEST_PARTIAL_END || evidence.new.timed >= MINIMUM_TIMED || evidence.isSpeedProof
         val isLikely = when {
             !isBusy -> true
-            share < PARTIAL_SHARE -> evidence.isProof
+            share < PARTIAL_SHARE -> evidence.isProof && evidence.isSpeedLikelySound
             else -> evidence.allowsFullShare
         }
         return ScheduledStep.Share(if (isTimed && isLikely) 1.0 else PARTIAL_SHARE)
--- a/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutScheduleTest.kt
+++ b/forwarding/src/test/kotlin/io/quetzalfield/forwarding/choice/RolloutScheduleTest.kt
@@ -220,6 +220,17 @@
             assertEquals(ScheduledStep.Share(0.3), next(23.seconds, slow, baseline = usual))
             assertEquals(ScheduledStep.Share(1.0), next(23.seconds, slow.copy(slow = 0), baseline = usual))
         }
+
+        /** Load pattern: the endpoints of a sound version have just started and are slow at first. */
+        @Test
+        fun `a version with some slow answers before the full share is completed`() {
+            val usual = RolloutObservations(answers = 168, errors = 44, slow = 2, timed = 31)
+            val seen = RolloutObservations(answers = 227, errors = 26, slow = 5, timed = 17)
+            val atShare = RolloutObservations(answers = 213, errors = 24, timed = 0)
+            val step = next(23.seconds, seen, share = 1.0, baseline = usual, atShare = atShare)
+            assertEquals(ScheduledStep.Complete, step)
+            assertEquals(ScheduledStep.Share(1.0), next(23.seconds, seen, baseline = usual))
+        }
     }
 
     /** Load pattern: half of the new version's requests are several times slower, and none fails. */
